--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/Board.java
@@ -0,0 +1,125 @@
+package org.weldcourse.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.weldcourse.workers.Report;
+import org.weldcourse.workers.TaskName;
+
+/** All that a leader knows during one term: open jobs, machines, and which task is booked or seen where. */
+public final class Board {
+    private static final Logger LOG = LoggerFactory.getLogger(Board.class);
+    private static final int MACHINES_TO_BLAME_JOB = 3;
+    private static final long FIRST_BACKOFF_MICROS = 5_000_000;
+    private static final long MOST_BACKOFF_MICROS = 120_000_000;
+    private static final long REFUSED_BACKOFF_MICROS = 1_000_000;
+
+    public final Map<String, Job> jobs = new HashMap<>();
+    public final Map<String, Machine> machines = new HashMap<>();
+    /** Where a task was last reported on a machine and not exited. */
+    private final Map<TaskName, Machine> present = new HashMap<>();
+
+    public Machine machine(String name, long nowMicros) {
+        return machines.computeIfAbsent(name, unknown -> new Machine(unknown, nowMicros));
+    }
+
+    public Booking book(Job job, int task, int attempt, Machine machine, long nowMicros) {
+        Booking booking = new Booking(job, task, attempt, machine, nowMicros);
+        job.pending.clear(task);
+        job.bookings.put(task, booking);
+        job.lastAttempt = Math.max(job.lastAttempt, attempt);
+        machine.bookings.put(booking.name, booking);
+        return booking;
+    }
+
+    /** There is evidence that the task is not on the machine, or it was never told to run there. */
+    public void free(Booking booking, long nowMicros) {
+        Machine machine = booking.machine;
+        Job job = booking.job;
+        machine.bookings.remove(booking.name, booking);
+        if (machine.bookings.isEmpty()) {
+            machine.idleSinceMicros = nowMicros;
+        }
+        if (job.bookings.get(booking.task) != booking) {
+            return;
+        }
+        job.bookings.remove(booking.task);
+        if (!job.done.get(booking.task)) {
+            job.pending.set(booking.task);
+            if (job.spec.gang()) {
+                evict(job, job.spec.saveMicros());
+            }
+        }
+    }
+
+    /** Ends what is left of a job's present attempts. */
+    public void evict(Job job, long graceMicros) {
+        for (Booking booking : job.bookings.values()) {
+            booking.requestStop(graceMicros);
+        }
+    }
+
+    /** The task exited on its machine for this cause. */
+    public void exited(Booking booking, Report.Cause cause, long nowMicros) {
+        Job job = booking.job;
+        Machine machine = booking.machine;
+        switch (cause) {
+            case DONE -> {
+                machine.donesSinceError++;
+                if (job.spec.gang()) {
+                    job.done.set(0, job.spec.tasks());
+                    job.pending.clear();
+                } else {
+                    job.done.set(booking.task);
+                }
+                job.errors = 0;
+            }
+            case ERROR -> {
+                LOG.info("{} attempt {} failed on {}", booking.name, booking.attempt, machine.name);
+                machine.jobsFailed.add(job.spec.id());
+                machine.donesSinceError = 0;
+                job.badMachines.add(machine.name);
+                job.errors++;
+                if (job.badMachines.size() >= MACHINES_TO_BLAME_JOB) {
+                    // Failing everywhere speaks against the job: try again ever more seldom, on any machine.
+                    long pause = FIRST_BACKOFF_MICROS << Math.min(10, job.errors);
+                    job.notBeforeMicros = nowMicros + Math.min(MOST_BACKOFF_MICROS, pause);
+                    job.badMachines.clear();
+                }
+            }
+            case NO_ROOM, BUSY, UNKNOWN -> {
+                LOG.info("{} attempt {} refused by {}: {}", booking.name, booking.attempt, machine.name, cause);
+                job.notBeforeMicros = nowMicros + REFUSED_BACKOFF_MICROS;
+            }
+            default -> LOG.debug("{} attempt {} ended on {}: {}", booking.name, booking.attempt, machine.name, cause);
+        }
+        free(booking, nowMicros);
+    }
+
+    /** Notes what a report shows to be on the machine and returns nothing that is older than it. */
+    public void seen(Machine machine, List<Report.Task> tasks) {
+        present.values().removeIf(where -> where == machine);
+        for (Report.Task task : tasks) {
+            if (task.state() != Report.State.EXITED) {
+                present.put(task.name(), machine);
+            }
+        }
+    }
+
+    /** The machine on which the task was last seen, if any: nowhere else may it run. */
+    public Machine whereabouts(TaskName task) {
+        return present.get(task);
+    }
+
+    /** The cloud said that the machine and all that was on it are gone. */
+    public void gone(Machine machine, long nowMicros) {
+        machines.remove(machine.name);
+        present.values().removeIf(where -> where == machine);
+        for (Booking booking : new ArrayList<>(machine.bookings.values())) {
+            free(booking, nowMicros);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/Booking.java
@@ -0,0 +1,47 @@
+package org.weldcourse.admission;
+
+import org.weldcourse.workers.Report;
+import org.weldcourse.workers.TaskName;
+
+/** A task's place on a machine, from its admission until there is evidence that it is gone from there. */
+public final class Booking {
+    public final Job job;
+    public final int task;
+    public final TaskName name;
+    public final int attempt;
+    public final Machine machine;
+    public final long bookedMicros;
+    /** The state service holds the admission; before that the task must not run. */
+    public boolean persisted;
+    /** The machine reported it at least once under this leader. */
+    public boolean seen;
+    /** A run went out in answer to the machine's last report, so the task may be there unreported. */
+    public boolean runSent;
+    public Report.State state;
+    public boolean stop;
+    public long graceMicros;
+    public boolean haltSent;
+    public long runningSinceMicros = -1;
+
+    public Booking(Job job, int task, int attempt, Machine machine, long bookedMicros) {
+        this.job = job;
+        this.task = task;
+        this.name = new TaskName(job.spec.id(), task);
+        this.attempt = attempt;
+        this.machine = machine;
+        this.bookedMicros = bookedMicros;
+    }
+
+    public boolean running() {
+        return state == Report.State.RUNNING || state == Report.State.SAVING;
+    }
+
+    /** Asks for its end; a longer grace that was asked for before is kept unless this one says none. */
+    public void requestStop(long newGraceMicros) {
+        if (!stop || newGraceMicros == 0 && graceMicros != 0) {
+            graceMicros = newGraceMicros;
+            haltSent = false;
+        }
+        stop = true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/Decisions.java
@@ -0,0 +1,21 @@
+package org.weldcourse.admission;
+
+import java.util.List;
+import java.util.Map;
+import org.weldcourse.jobs.JobSpec;
+
+/** What a cycle decided: whom to admit where, whom to stop, and what found no room. */
+public record Decisions(List<Admission> admissions, List<Stop> stops, List<Waiting> waiting) {
+
+    /** Tasks in ascending order by machine. */
+    public record Admission(String job, Map<String, int[]> tasks) {
+    }
+
+    /** A gang is stopped whole. */
+    public record Stop(String job, int task, boolean wholeGang) {
+    }
+
+    /** {@code byQuota}: the team's limit is in the way, so that more machines would not help. */
+    public record Waiting(JobSpec spec, int tasks, boolean byQuota) {
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/Job.java
@@ -0,0 +1,62 @@
+package org.weldcourse.admission;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.agrona.collections.Int2ObjectHashMap;
+import org.weldcourse.jobs.JobSpec;
+
+/** An open job as its leader sees it: what is finished, what is booked where, and what is left. */
+public final class Job {
+    public final JobSpec spec;
+    public final long acceptedMicros;
+    public final BitSet done = new BitSet();
+    /** Finished tasks that the state service holds; only these may be forgotten by their workers. */
+    public final BitSet savedDone = new BitSet();
+    /** Neither finished nor booked. */
+    public final BitSet pending = new BitSet();
+    public final Int2ObjectHashMap<Booking> bookings = new Int2ObjectHashMap<>();
+    public final List<String> keys = new ArrayList<>();
+    public final Set<String> badMachines = new HashSet<>();
+    public long version;
+    public boolean cancelled;
+    public int lastAttempt;
+    public int errors;
+    public long notBeforeMicros;
+    public boolean savingDone;
+    public boolean closing;
+    public boolean closed;
+    public boolean evicting;
+
+    public Job(JobSpec spec, long version, long acceptedMicros) {
+        this.spec = spec;
+        this.version = version;
+        this.acceptedMicros = acceptedMicros;
+        pending.set(0, spec.tasks());
+    }
+
+    public boolean allDone() {
+        return done.cardinality() == spec.tasks();
+    }
+
+    public boolean hasUnsavedDone() {
+        return savedDone.cardinality() != done.cardinality();
+    }
+
+    /** Whether a worker may be told to forget this attempt: no leader would ever run it again. */
+    public boolean mayForget(int task, int attempt) {
+        if (closed || savedDone.get(task)) {
+            return true;
+        }
+        Booking current = bookings.get(task);
+        return current != null && current.persisted && current.attempt != attempt;
+    }
+
+    /** A gang may only be booked anew once nothing of its last attempt is left anywhere. */
+    public boolean canBeBooked(long nowMicros) {
+        return !cancelled && !closing && !closed && !pending.isEmpty() && nowMicros >= notBeforeMicros
+                && (!spec.gang() || bookings.isEmpty());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/Machine.java
@@ -0,0 +1,86 @@
+package org.weldcourse.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.weldcourse.fleet.MachineType;
+import org.weldcourse.workers.Report;
+import org.weldcourse.workers.TaskName;
+
+/** A machine as the leader sees it, from its rental (or first sign of life) until its release is answered. */
+public final class Machine {
+    public final String name;
+    public String address;
+    public MachineType type;
+    public String zone;
+    public boolean spot;
+    /** When it was rented as far as known, else when this leader first heard of it. */
+    public long sinceMicros;
+    public long session;
+    public long sequence = -1;
+    /** When its last report that counted came, or -1. */
+    public long heardMicros = -1;
+    /** It has reported under this leader's token: its list of tasks can be relied on. */
+    public boolean underToken;
+    public long takenBackAtMicros = Long.MAX_VALUE;
+    public boolean released;
+    public boolean releasing;
+    public boolean failed;
+    public long idleSinceMicros;
+    public long upMicros = -1;
+    public final Map<TaskName, Booking> bookings = new HashMap<>();
+    /** What the last report listed that no booking explains; it holds room until it exits. */
+    public final List<Report.Task> strangers = new ArrayList<>();
+    public final Set<String> jobsFailed = new HashSet<>();
+    public int donesSinceError;
+    /** Exited tasks of the last report that the worker was not yet told to forget. */
+    public final List<Report.Task> exited = new ArrayList<>();
+    /** A direct message is on its way; a second one waits for its answer. */
+    public boolean directInFlight;
+    /** Images that it should hold with their sizes, the latest used last. */
+    private final LinkedHashMap<String, Double> images = new LinkedHashMap<>();
+
+    public Machine(String name, long nowMicros) {
+        this.name = name;
+        this.sinceMicros = nowMicros;
+        this.idleSinceMicros = nowMicros;
+    }
+
+    public boolean usable() {
+        return underToken && !released && !failed && type != null && takenBackAtMicros == Long.MAX_VALUE;
+    }
+
+    public boolean isUp() {
+        return heardMicros >= 0;
+    }
+
+    public boolean newer(Report report) {
+        return report.session() > session || report.session() == session && report.sequence() > sequence;
+    }
+
+    /** Notes that a task got its image; the least recently used ones fall out of the cache. */
+    public void usedImage(String image, double gb) {
+        images.remove(image);
+        images.put(image, gb);
+        double held = 0;
+        for (double size : images.values()) {
+            held += size;
+        }
+        while (type != null && held > type.cacheGb() && images.size() > 1) {
+            String oldest = images.keySet().iterator().next();
+            held -= images.remove(oldest);
+        }
+    }
+
+    public Set<String> images() {
+        return images.keySet();
+    }
+
+    public void forgetImages() {
+        images.clear();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/Planner.java
@@ -0,0 +1,476 @@
+package org.weldcourse.admission;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.IdentityHashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.weldcourse.admission.Snapshot.JobView;
+import org.weldcourse.admission.Snapshot.MachineView;
+import org.weldcourse.admission.Snapshot.TaskView;
+import org.weldcourse.admission.Snapshot.TeamView;
+import org.weldcourse.fleet.MachineType;
+import org.weldcourse.jobs.JobSpec;
+
+/**
+ * One admission cycle, as a pure function of a snapshot. Team by team the heads of the queues are weighed: rank
+ * first, then teams within their guarantee before teams that borrow, then age. Each booking changes what the
+ * later ones find. Gangs are placed whole or not at all, arrays as far as quota and room go.
+ */
+public final class Planner {
+    private static final double EPSILON = MachineType.EPSILON;
+
+    private final List<Room> rooms = new ArrayList<>();
+    private final Map<String, Usage> usages = new HashMap<>();
+    private final List<Decisions.Admission> admissions = new ArrayList<>();
+    private final List<Decisions.Stop> stops = new ArrayList<>();
+    private final List<Decisions.Waiting> waiting = new ArrayList<>();
+    private final int mostTasksPerAdmission;
+
+    private Planner(Snapshot snapshot, int mostTasksPerAdmission) {
+        this.mostTasksPerAdmission = mostTasksPerAdmission;
+        for (MachineView machine : snapshot.machines()) {
+            rooms.add(new Room(machine));
+        }
+        for (TeamView team : snapshot.teams()) {
+            usages.put(team.team().name(), new Usage(team));
+        }
+    }
+
+    public static Decisions decide(Snapshot snapshot, int mostTasksPerAdmission) {
+        Planner planner = new Planner(snapshot, mostTasksPerAdmission);
+        planner.run(snapshot.jobs());
+        return new Decisions(planner.admissions, planner.stops, planner.waiting);
+    }
+
+    /** The room of a machine as bookings go on. */
+    private static final class Room {
+        final MachineView machine;
+        double cpus;
+        double gpus;
+        double memoryGb;
+        final Set<TaskView> victims = Collections.newSetFromMap(new IdentityHashMap<>());
+
+        Room(MachineView machine) {
+            this.machine = machine;
+            cpus = machine.freeCpus();
+            gpus = machine.freeGpus();
+            memoryGb = machine.freeMemoryGb();
+        }
+
+        int fits(JobSpec job) {
+            double most = Math.floor((cpus + EPSILON) / job.cpus());
+            if (job.gpus() > 0) {
+                most = Math.min(most, Math.floor((gpus + EPSILON) / job.gpus()));
+            }
+            if (job.memoryGb() > 0) {
+                most = Math.min(most, Math.floor((memoryGb + EPSILON) / job.memoryGb()));
+            }
+            return (int) Math.max(0, most);
+        }
+
+        void take(JobSpec job, int tasks) {
+            cpus -= job.cpus() * tasks;
+            gpus -= job.gpus() * tasks;
+            memoryGb -= job.memoryGb() * tasks;
+        }
+    }
+
+    /** A team's use as bookings go on. */
+    private static final class Usage {
+        final TeamView team;
+        double cpus;
+        double gpus;
+
+        Usage(TeamView team) {
+            this.team = team;
+            cpus = team.usedCpus();
+            gpus = team.usedGpus();
+        }
+
+        int underLimit(JobSpec job) {
+            double most = Math.floor((team.team().cpusMax() - cpus + EPSILON) / job.cpus());
+            if (job.gpus() > 0) {
+                most = Math.min(most, Math.floor((team.team().gpusMax() - gpus + EPSILON) / job.gpus()));
+            }
+            return (int) Math.max(0, Math.min(most, Integer.MAX_VALUE));
+        }
+
+        boolean withinGuarantee(JobSpec job, int tasks) {
+            return cpus + job.cpus() * tasks <= team.team().cpus() + EPSILON
+                    && gpus + job.gpus() * tasks <= team.team().gpus() + EPSILON;
+        }
+
+        boolean borrowsWith(double cpusLess, double gpusLess) {
+            return cpus - cpusLess > team.team().cpus() - EPSILON || gpus - gpusLess > team.team().gpus() + EPSILON;
+        }
+
+        void take(JobSpec job, int tasks) {
+            cpus += job.cpus() * tasks;
+            gpus += job.gpus() * tasks;
+        }
+    }
+
+    private void run(List<JobView> jobs) {
+        Map<String, List<JobView>> queues = new LinkedHashMap<>();
+        List<JobView> ordered = new ArrayList<>(jobs);
+        ordered.sort(Comparator.comparing((JobView job) -> job.spec().rank()).thenComparingLong(Planner::urgency)
+                .thenComparing(job -> job.spec().id()));
+        for (JobView job : ordered) {
+            queues.computeIfAbsent(job.spec().team(), team -> new ArrayList<>()).add(job);
+        }
+        while (!queues.isEmpty()) {
+            JobView head = bestHead(queues);
+            List<JobView> queue = queues.get(head.spec().team());
+            queue.remove(0);
+            if (queue.isEmpty()) {
+                queues.remove(head.spec().team());
+            }
+            admit(head);
+        }
+    }
+
+    /** Jobs with a deadline come by it, others by age. */
+    private static long urgency(JobView job) {
+        return job.acceptedMicros() + job.spec().deadlineMicros();
+    }
+
+    private JobView bestHead(Map<String, List<JobView>> queues) {
+        JobView best = null;
+        for (List<JobView> queue : queues.values()) {
+            JobView head = queue.get(0);
+            if (best == null || before(head, best)) {
+                best = head;
+            }
+        }
+        return best;
+    }
+
+    private boolean before(JobView a, JobView b) {
+        int byRank = a.spec().rank().compareTo(b.spec().rank());
+        if (byRank != 0) {
+            return byRank < 0;
+        }
+        boolean aWithin = within(a);
+        if (aWithin != within(b)) {
+            return aWithin;
+        }
+        return urgency(a) < urgency(b);
+    }
+
+    private boolean within(JobView job) {
+        Usage usage = usages.get(job.spec().team());
+        return usage != null && usage.withinGuarantee(job.spec(), job.spec().gang() ? job.spec().tasks() : 1);
+    }
+
+    private void admit(JobView job) {
+        Usage usage = usages.get(job.spec().team());
+        int wanted = job.pending().cardinality();
+        if (usage == null) {
+            waiting.add(new Decisions.Waiting(job.spec(), wanted, true));
+            return;
+        }
+        int underLimit = usage.underLimit(job.spec());
+        if (job.spec().gang()) {
+            if (underLimit < wanted) {
+                makeQuota(job, usage, wanted - underLimit);
+                usage.take(job.spec(), wanted);
+                waiting.add(new Decisions.Waiting(job.spec(), wanted, true));
+                return;
+            }
+            if (!placeGang(job, usage, wanted)) {
+                waiting.add(new Decisions.Waiting(job.spec(), wanted, false));
+            }
+            return;
+        }
+        int allowed = Math.min(wanted, underLimit);
+        int placed = placeArray(job, usage, Math.min(allowed, mostTasksPerAdmission));
+        if (placed < allowed) {
+            waiting.add(new Decisions.Waiting(job.spec(), allowed - placed, false));
+        } else if (placed < wanted) {
+            waiting.add(new Decisions.Waiting(job.spec(), wanted - placed, true));
+        }
+    }
+
+    private List<Room> allowedRooms(JobView job) {
+        JobSpec spec = job.spec();
+        List<Room> allowed = new ArrayList<>();
+        for (Room room : rooms) {
+            MachineView machine = room.machine;
+            if (spec.allowsType(machine.type().name()) && spec.allowsZone(machine.zone())
+                    && (spec.spot() || !machine.spot()) && !job.badMachines().contains(machine.name())) {
+                allowed.add(room);
+            }
+        }
+        return allowed;
+    }
+
+    private int placeArray(JobView job, Usage usage, int most) {
+        JobSpec spec = job.spec();
+        Map<String, Integer> zoneCounts = new HashMap<>(job.zoneCounts());
+        String onlyZone = null;
+        List<Room> allowed = allowedRooms(job);
+        if (spec.oneZone()) {
+            onlyZone = zoneCounts.isEmpty() ? roomiestZone(allowed, spec) : zoneCounts.keySet().iterator().next();
+        }
+        // Where the image is already comes first, then the fullest machine, so that others run empty.
+        allowed.sort(Comparator.comparing((Room room) -> !room.machine.images().contains(spec.image()))
+                .thenComparingDouble(room -> room.cpus));
+        Map<Room, Integer> counts = new LinkedHashMap<>();
+        int left = most;
+        for (Room room : allowed) {
+            String zone = room.machine.zone();
+            if (left == 0 || onlyZone != null && !onlyZone.equals(zone)) {
+                continue;
+            }
+            int fits = Math.min(left, room.fits(spec));
+            fits = Math.min(fits, spec.mostPerZone() - zoneCounts.getOrDefault(zone, 0));
+            if (fits > 0) {
+                counts.put(room, fits);
+                zoneCounts.merge(zone, fits, Integer::sum);
+                left -= fits;
+            }
+        }
+        if (most > left) {
+            book(job, usage, counts);
+        }
+        if (left > 0) {
+            left -= displaceForArray(job, usage, allowed, onlyZone, zoneCounts, left);
+        }
+        return most - left;
+    }
+
+    /** Books over what may be displaced: the victims are stopped, and the tasks run once those have left. */
+    private int displaceForArray(JobView job, Usage usage, List<Room> allowed, String onlyZone,
+            Map<String, Integer> zoneCounts, int wanted) {
+        Map<Room, Integer> counts = new LinkedHashMap<>();
+        int left = wanted;
+        for (Room room : allowed) {
+            String zone = room.machine.zone();
+            int most = Math.min(left, job.spec().mostPerZone() - zoneCounts.getOrDefault(zone, 0));
+            if (most <= 0 || onlyZone != null && !onlyZone.equals(zone)) {
+                continue;
+            }
+            Offer offer = offerWithVictims(job, usage, room, most, 0);
+            if (offer != null) {
+                int take = Math.min(most, offer.tasks);
+                offer.victims.forEach(victim -> stop(room, victim));
+                counts.put(room, take);
+                zoneCounts.merge(zone, take, Integer::sum);
+                left -= take;
+            }
+        }
+        if (!counts.isEmpty()) {
+            book(job, usage, counts);
+        }
+        return wanted - left;
+    }
+
+    private String roomiestZone(List<Room> allowed, JobSpec spec) {
+        Map<String, Integer> fits = new HashMap<>();
+        for (Room room : allowed) {
+            fits.merge(room.machine.zone(), room.fits(spec), Integer::sum);
+        }
+        return fits.entrySet().stream()
+                .max(Comparator.comparingInt((Map.Entry<String, Integer> e) -> e.getValue())
+                        .thenComparing(Map.Entry::getKey))
+                .map(Map.Entry::getKey).orElse(null);
+    }
+
+    private boolean placeGang(JobView job, Usage usage, int tasks) {
+        List<Room> allowed = allowedRooms(job);
+        List<List<Room>> choices = new ArrayList<>();
+        if (job.spec().oneZone()) {
+            Map<String, List<Room>> byZone = new LinkedHashMap<>();
+            for (Room room : allowed) {
+                byZone.computeIfAbsent(room.machine.zone(), zone -> new ArrayList<>()).add(room);
+            }
+            choices.addAll(byZone.values());
+        } else {
+            choices.add(allowed);
+        }
+        for (boolean displace : new boolean[] {false, true}) {
+            GangPlan best = null;
+            for (List<Room> choice : choices) {
+                GangPlan plan = planGang(job, usage, tasks, choice, displace);
+                if (plan != null && (best == null || plan.cost < best.cost)) {
+                    best = plan;
+                }
+            }
+            if (best != null) {
+                for (Offer offer : best.offers) {
+                    offer.victims.forEach(victim -> stop(offer.room, victim));
+                }
+                book(job, usage, best.counts);
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private record GangPlan(Map<Room, Integer> counts, List<Offer> offers, double cost) {
+    }
+
+    /** A machine's offer to a gang: so many tasks, for the work that stopping the victims would lose. */
+    private record Offer(Room room, int tasks, List<TaskView> victims, double cost) {
+        double costPerTask() {
+            return cost / tasks;
+        }
+    }
+
+    private GangPlan planGang(JobView job, Usage usage, int tasks, List<Room> choice, boolean displace) {
+        JobSpec spec = job.spec();
+        List<Offer> offers = new ArrayList<>();
+        for (Room room : choice) {
+            double fetchCost = room.machine.images().contains(spec.image()) ? 0
+                    : spec.imageGb() / Math.max(0.01, room.machine.type().fetchGbPerSecond()) * spec.cpus();
+            if (!displace) {
+                if (room.fits(spec) > 0) {
+                    offers.add(new Offer(room, room.fits(spec), List.of(), fetchCost + room.cpus * 1e-3));
+                }
+                continue;
+            }
+            Offer offer = offerWithVictims(job, usage, room, tasks, fetchCost);
+            if (offer != null) {
+                offers.add(offer);
+            }
+        }
+        offers.sort(Comparator.comparingDouble(Offer::costPerTask).thenComparing(offer -> offer.room.machine.name()));
+        Map<Room, Integer> counts = new LinkedHashMap<>();
+        Map<String, Integer> zoneCounts = new HashMap<>();
+        List<Offer> taken = new ArrayList<>();
+        double cost = 0;
+        int left = tasks;
+        for (Offer offer : offers) {
+            String zone = offer.room.machine.zone();
+            int take = Math.min(Math.min(left, offer.tasks), spec.mostPerZone() - zoneCounts.getOrDefault(zone, 0));
+            if (take <= 0) {
+                continue;
+            }
+            counts.put(offer.room, take);
+            zoneCounts.merge(zone, take, Integer::sum);
+            taken.add(offer);
+            cost += offer.cost;
+            left -= take;
+            if (left == 0) {
+                return new GangPlan(counts, taken, cost);
+            }
+        }
+        return null;
+    }
+
+    private Offer offerWithVictims(JobView job, Usage usage, Room room, int tasks, double fetchCost) {
+        JobSpec spec = job.spec();
+        Room trial = new Room(room.machine);
+        trial.cpus = room.cpus;
+        trial.gpus = room.gpus;
+        trial.memoryGb = room.memoryGb;
+        List<TaskView> chosen = new ArrayList<>();
+        double cost = fetchCost;
+        int fits = trial.fits(spec);
+        List<TaskView> candidates = displaceable(job, usage, room);
+        int bestFits = fits;
+        List<TaskView> bestChosen = List.of();
+        double bestCost = cost;
+        for (TaskView victim : candidates) {
+            if (bestFits >= tasks) {
+                break;
+            }
+            trial.take(victim.job(), -1);
+            chosen.add(victim);
+            cost += victim.stopping() ? 0 : (victim.ranMicros() / 1e6 + 1) * victim.job().cpus();
+            fits = trial.fits(spec);
+            if (fits > bestFits) {
+                bestFits = fits;
+                bestChosen = List.copyOf(chosen);
+                bestCost = cost;
+            }
+        }
+        return bestFits == 0 ? null : new Offer(room, bestFits, bestChosen, bestCost);
+    }
+
+    /** Tasks on the machine that may be stopped for this job: what leaves anyway first, then the least work lost. */
+    private List<TaskView> displaceable(JobView job, Usage usage, Room room) {
+        boolean reclaims = usage.withinGuarantee(job.spec(), job.spec().gang() ? job.pending().cardinality() : 1);
+        List<TaskView> candidates = new ArrayList<>();
+        for (TaskView task : room.machine.tasks()) {
+            if (room.victims.contains(task) || task.job().id().equals(job.spec().id())) {
+                continue;
+            }
+            boolean lowerRank = task.job().rank().compareTo(job.spec().rank()) > 0;
+            Usage other = usages.get(task.job().team());
+            boolean borrowed = reclaims && other != null && !task.job().team().equals(job.spec().team())
+                    && other.borrowsWith(task.job().cpus(), task.job().gpus());
+            if (task.stopping() || lowerRank || borrowed) {
+                candidates.add(task);
+            }
+        }
+        candidates.sort(Comparator.comparing((TaskView task) -> !task.stopping())
+                .thenComparing(task -> task.job().rank(), Comparator.reverseOrder())
+                .thenComparingLong(TaskView::ranMicros));
+        return candidates;
+    }
+
+    /** The team's own work of lower rank stands in the way of its limit: stop as much as is missing. */
+    private void makeQuota(JobView job, Usage usage, int tasksMissing) {
+        double cpusMissing = job.spec().cpus() * tasksMissing;
+        double gpusMissing = job.spec().gpus() * tasksMissing;
+        List<Victim> own = new ArrayList<>();
+        for (Room room : rooms) {
+            for (TaskView task : room.machine.tasks()) {
+                if (task.job().team().equals(job.spec().team())
+                        && task.job().rank().compareTo(job.spec().rank()) > 0) {
+                    own.add(new Victim(room, task));
+                }
+            }
+        }
+        own.sort(Comparator.comparing((Victim victim) -> !victim.task.stopping())
+                .thenComparingLong(victim -> victim.task.ranMicros()));
+        List<Victim> chosen = new ArrayList<>();
+        for (Victim victim : own) {
+            if (cpusMissing <= EPSILON && gpusMissing <= EPSILON) {
+                break;
+            }
+            cpusMissing -= victim.task.job().cpus();
+            gpusMissing -= victim.task.job().gpus();
+            chosen.add(victim);
+        }
+        if (cpusMissing <= EPSILON && gpusMissing <= EPSILON) {
+            chosen.forEach(victim -> stop(victim.room, victim.task));
+        }
+    }
+
+    private record Victim(Room room, TaskView task) {
+    }
+
+    private void stop(Room room, TaskView victim) {
+        if (!room.victims.add(victim)) {
+            return;
+        }
+        room.take(victim.job(), -1);
+        if (!victim.stopping()) {
+            stops.add(new Decisions.Stop(victim.job().id(), victim.task(), victim.job().gang()));
+        }
+    }
+
+    private void book(JobView job, Usage usage, Map<Room, Integer> counts) {
+        Map<String, int[]> tasks = new LinkedHashMap<>();
+        BitSet pending = job.pending();
+        for (Map.Entry<Room, Integer> entry : counts.entrySet()) {
+            int[] chosen = new int[entry.getValue()];
+            for (int i = 0; i < chosen.length; i++) {
+                chosen[i] = pending.nextSetBit(0);
+                pending.clear(chosen[i]);
+            }
+            tasks.put(entry.getKey().machine.name(), chosen);
+            entry.getKey().take(job.spec(), chosen.length);
+            usage.take(job.spec(), chosen.length);
+        }
+        admissions.add(new Decisions.Admission(job.spec().id(), tasks));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -0,0 +1,496 @@
+package org.weldcourse.admission;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.weldcourse.admission.Snapshot.JobView;
+import org.weldcourse.admission.Snapshot.MachineView;
+import org.weldcourse.admission.Snapshot.TaskView;
+import org.weldcourse.admission.Snapshot.TeamView;
+import org.weldcourse.fleet.Cloud;
+import org.weldcourse.fleet.FleetKeeper;
+import org.weldcourse.fleet.FleetPlanner;
+import org.weldcourse.fleet.TypesDuty;
+import org.weldcourse.http.Caller;
+import org.weldcourse.http.Server.Reply;
+import org.weldcourse.jobs.JobCodec;
+import org.weldcourse.jobs.JobSpec;
+import org.weldcourse.jobs.Keys;
+import org.weldcourse.jobs.SliceCodec;
+import org.weldcourse.leadership.Leadership;
+import org.weldcourse.runtime.Clock;
+import org.weldcourse.runtime.Duty;
+import org.weldcourse.runtime.Timers;
+import org.weldcourse.settings.Settings;
+import org.weldcourse.settings.Tuning;
+import org.weldcourse.store.Store;
+import org.weldcourse.store.Store.Outcome;
+import org.weldcourse.workers.CheckinCodec;
+import org.weldcourse.workers.Order;
+import org.weldcourse.workers.Reconciler;
+import org.weldcourse.workers.Report;
+
+/**
+ * One leader's time in office. It reads the records back, answers the workers, and cycles: finished work is put
+ * on record, what waits is admitted against a snapshot, and what must stop is told so.
+ */
+public final class Term extends Duty {
+    private static final Logger LOG = LoggerFactory.getLogger(Term.class);
+    private static final long IDLE_CYCLE_MICROS = 1_000_000;
+    private static final long SOON_MICROS = 10_000;
+    private static final long RETRY_MICROS = 300_000;
+    /** Short enough that a watch which went silent costs a cancellation little of its time. */
+    private static final long WATCH_MICROS = 8_000_000;
+    private static final long DIRECT_TIMEOUT_MICROS = 2_000_000;
+    private static final long CANCEL_MARGIN_MICROS = 3_000_000;
+
+    private final Parts parts;
+    private final long token;
+    private final Board board = new Board();
+    private final Reconciler reconciler;
+    private final Recorder recorder;
+    private final FleetKeeper fleet;
+    private final int mostTasksPerAdmission;
+    private final long startedMicros;
+    private boolean loaded;
+
+    /** What a term works with; all of it outlives the term. */
+    public record Parts(Store store, Cloud cloud, Caller caller, Clock clock, Timers timers, Settings settings,
+            Tuning tuning, Leadership leadership, TypesDuty types) {
+    }
+
+    public Term(Parts parts, long token, long epochVersion) {
+        super("term " + token, parts.clock(), parts.timers());
+        this.parts = parts;
+        this.token = token;
+        this.startedMicros = parts.clock().nowMicros();
+        this.reconciler = new Reconciler(board, token);
+        this.mostTasksPerAdmission = Recorder.mostTasksPerAdmission(parts.settings().state());
+        this.recorder = new Recorder(parts.store(), parts.clock(), parts.timers(), parts.settings().state(),
+                epochVersion, new Recorder.Events() {
+                    @Override
+                    public void recorded(Job job) {
+                        wakeIn(0);
+                    }
+
+                    @Override
+                    public void outdated() {
+                        parts.leadership().doubt();
+                    }
+                });
+        this.fleet = new FleetKeeper(board, parts.cloud(), parts.types(), parts.settings(), parts.tuning(), token,
+                parts.clock(), parts.timers(), () -> wakeIn(0));
+    }
+
+    /** Reads the records and begins to work. */
+    public void begin() {
+        start();
+        load();
+    }
+
+    @Override
+    public void cancel() {
+        super.cancel();
+        recorder.end();
+        fleet.cancel();
+    }
+
+    // Reading the records
+
+    private void load() {
+        if (!isRunning()) {
+            return;
+        }
+        parts.store().list(Keys.OPEN, open -> parts.store().list(Keys.SLICES, slices ->
+                parts.store().list(Keys.DONE_TASKS, done -> {
+                    if (!isRunning()) {
+                        return;
+                    }
+                    if (open.outcome() != Outcome.OK || slices.outcome() != Outcome.OK
+                            || done.outcome() != Outcome.OK) {
+                        parts.timers().after(RETRY_MICROS, this::load);
+                        return;
+                    }
+                    restore(open.entries(), slices.entries(), done.entries());
+                    loaded = true;
+                    LOG.info("token {}: took over {} open jobs, {} records, {} ms after its election", token,
+                            board.jobs.size(), slices.entries().size() + done.entries().size(),
+                            (clock.nowMicros() - startedMicros) / 1000);
+                    watch(open.revision());
+                    fleet.start();
+                    wakeIn(0);
+                })));
+    }
+
+    private void restore(List<Store.Entry> open, List<Store.Entry> slices, List<Store.Entry> done) {
+        long nowMicros = clock.nowMicros();
+        for (Store.Entry entry : open) {
+            jobWritten(entry.key(), entry.value(), entry.version());
+        }
+        List<String> orphans = new ArrayList<>();
+        for (Store.Entry entry : done) {
+            Job job = board.jobs.get(Keys.jobOf(entry.key()));
+            if (job == null) {
+                orphans.add(entry.key());
+            } else {
+                job.keys.add(entry.key());
+                recorder.restoreDone(job, entry);
+            }
+        }
+        // Keys sort by attempt, so that the last admission of a task is the one that stands.
+        for (Store.Entry entry : slices) {
+            Job job = board.jobs.get(Keys.jobOf(entry.key()));
+            if (job == null) {
+                orphans.add(entry.key());
+                continue;
+            }
+            job.keys.add(entry.key());
+            int attempt = SliceCodec.attempt(entry.value());
+            SliceCodec.visit(entry.value(), (machineName, first, last) -> {
+                Machine machine = board.machine(machineName, nowMicros);
+                for (int task = first; task <= last && task < job.spec.tasks(); task++) {
+                    job.lastAttempt = Math.max(job.lastAttempt, attempt);
+                    if (job.done.get(task)) {
+                        continue;
+                    }
+                    Booking earlier = job.bookings.remove(task);
+                    if (earlier != null) {
+                        earlier.machine.bookings.remove(earlier.name, earlier);
+                    }
+                    board.book(job, task, attempt, machine, nowMicros).persisted = true;
+                }
+            });
+        }
+        recorder.sweep(orphans);
+    }
+
+    private void watch(long revision) {
+        parts.store().watch(Keys.OPEN, revision, WATCH_MICROS, events -> {
+            if (!isRunning()) {
+                return;
+            }
+            if (events.outcome() == Outcome.OK) {
+                for (Store.Event event : events.events()) {
+                    if (event.value() != null) {
+                        jobWritten(event.key(), event.value(), event.version());
+                    }
+                }
+                if (!events.events().isEmpty()) {
+                    wakeIn(0);
+                }
+                watch(Math.max(revision, events.revision()));
+            } else if (events.outcome() == Outcome.NO) {
+                readAgain();
+            } else {
+                parts.timers().after(events.outcome() == Outcome.UNKNOWN ? 0 : RETRY_MICROS, () -> watch(revision));
+            }
+        });
+    }
+
+    /** The watch fell too far behind: read all open jobs once more. */
+    private void readAgain() {
+        if (!isRunning()) {
+            return;
+        }
+        parts.store().list(Keys.OPEN, open -> {
+            if (open.outcome() != Outcome.OK) {
+                parts.timers().after(RETRY_MICROS, this::readAgain);
+                return;
+            }
+            for (Store.Entry entry : open.entries()) {
+                jobWritten(entry.key(), entry.value(), entry.version());
+            }
+            wakeIn(0);
+            watch(open.revision());
+        });
+    }
+
+    private void jobWritten(String key, Map<String, Object> value, long version) {
+        String id = Keys.jobOf(key);
+        Job job = board.jobs.get(id);
+        if (job == null) {
+            try {
+                JobSpec spec = JobCodec.spec(value);
+                long ageMicros = Math.max(0, clock.wallMicros() - JobCodec.acceptedWallMicros(value));
+                job = new Job(spec, version, clock.nowMicros() - ageMicros);
+            } catch (JobCodec.Malformed unreadable) {
+                LOG.error("{}: its record can't be read: {}", id, unreadable.getMessage());
+                return;
+            }
+            board.jobs.put(id, job);
+            fleet.jobSeen(job.spec);
+        }
+        if (version >= job.version && !job.closed) {
+            job.version = version;
+            job.cancelled |= JobCodec.isCancelled(value);
+        }
+    }
+
+    // Workers
+
+    /** A worker's report. The lease that the answer renews lets work outlive a loss of the state service. */
+    public void checkin(Report report, Reply reply) {
+        long nowMicros = clock.nowMicros();
+        if (!mayRenewWorkers(nowMicros)) {
+            reply.refuse(503, "cut off from the state service", 1);
+            return;
+        }
+        if (!loaded || fleet.isGone(report.machine())) {
+            reply.send(200, CheckinCodec.answer(token, List.of()));
+            return;
+        }
+        Machine machine = board.machine(report.machine(), nowMicros);
+        if (machine.type == null) {
+            machine.type = parts.types().byName(report.type());
+        }
+        Reconciler.Result result = reconciler.report(machine, report, parts.leadership().leaseHolds(), nowMicros);
+        reply.send(200, CheckinCodec.answer(token, result.orders()));
+        if (result.changed()) {
+            wakeIn(SOON_MICROS);
+        }
+    }
+
+    /**
+     * Without its lease a leader may still keep work alive, but a successor may have told a user that a job is
+     * cancelled: early enough before that job must be gone, the workers' own leases have to start running out.
+     */
+    private boolean mayRenewWorkers(long nowMicros) {
+        long lastContactMicros = parts.leadership().leaseEndMicros() - parts.tuning().stateLeaseMicros();
+        Settings.Workers workers = parts.settings().workers();
+        long extraMicros = workers.cancelMicros() - workers.leaseMicros() - CANCEL_MARGIN_MICROS;
+        return nowMicros < Math.max(parts.leadership().leaseEndMicros(), lastContactMicros + extraMicros);
+    }
+
+    // The cycle
+
+    @Override
+    protected long step() {
+        if (!loaded) {
+            return -1;
+        }
+        long nowMicros = clock.nowMicros();
+        for (Job job : new ArrayList<>(board.jobs.values())) {
+            tend(job, nowMicros);
+        }
+        for (Machine machine : board.machines.values()) {
+            drain(machine, nowMicros);
+        }
+        if (parts.leadership().leaseHolds()) {
+            admit(nowMicros);
+        }
+        direct();
+        return IDLE_CYCLE_MICROS;
+    }
+
+    private void tend(Job job, long nowMicros) {
+        if (job.closed) {
+            board.jobs.remove(job.spec.id());
+            return;
+        }
+        if (job.allDone()) {
+            recorder.close(job);
+        } else if (job.cancelled) {
+            board.evict(job, 0);
+            if (job.bookings.isEmpty()) {
+                recorder.close(job);
+            }
+        } else {
+            recorder.saveDone(job);
+            if (job.spec.gang()) {
+                checkStart(job, nowMicros);
+            }
+        }
+    }
+
+    /** A gang that is not running whole within the wait that covers its fetches is evicted and queued again. */
+    private void checkStart(Job job, long nowMicros) {
+        long waitMicros = parts.settings().workers().gangWaitMicros();
+        for (Booking booking : job.bookings.values()) {
+            double rate = booking.machine.type == null ? 0.1 : booking.machine.type.fetchGbPerSecond();
+            long fetchMicros = Math.round(job.spec.imageGb() / Math.max(0.01, rate) * 2e6);
+            boolean late = nowMicros - booking.bookedMicros > waitMicros + fetchMicros + 15_000_000;
+            if (late && !booking.running() && !booking.stop) {
+                LOG.info("{} attempt {} did not start in time on {}", booking.name, booking.attempt,
+                        booking.machine.name);
+                board.evict(job, job.spec.saveMicros());
+                return;
+            }
+        }
+    }
+
+    /** Before the cloud takes a machine back, tasks that won't finish there save what they can and leave. */
+    private void drain(Machine machine, long nowMicros) {
+        if (machine.takenBackAtMicros == Long.MAX_VALUE) {
+            return;
+        }
+        for (Booking booking : new ArrayList<>(machine.bookings.values())) {
+            if (booking.stop) {
+                continue;
+            }
+            long ranMicros = booking.running() ? nowMicros - booking.runningSinceMicros : 0;
+            if (nowMicros + booking.job.spec.estimateMicros() - ranMicros < machine.takenBackAtMicros) {
+                continue;
+            }
+            stop(booking);
+        }
+    }
+
+    private void stop(Booking booking) {
+        long graceMicros = booking.job.spec.checkpointMicros() > 0
+                ? booking.job.spec.saveMicros() + 1_000_000 : 0;
+        if (booking.job.spec.gang()) {
+            board.evict(booking.job, graceMicros);
+        } else {
+            booking.requestStop(graceMicros);
+        }
+    }
+
+    private void admit(long nowMicros) {
+        Decisions decisions = Planner.decide(snapshot(nowMicros), mostTasksPerAdmission);
+        for (Decisions.Stop stop : decisions.stops()) {
+            Job job = board.jobs.get(stop.job());
+            Booking booking = job == null ? null : job.bookings.get(stop.task());
+            if (booking != null && !booking.stop) {
+                LOG.debug("{} attempt {} makes room on {}", booking.name, booking.attempt, booking.machine.name);
+                stop(booking);
+            }
+        }
+        for (Decisions.Admission admission : decisions.admissions()) {
+            admit(board.jobs.get(admission.job()), admission.tasks(), nowMicros);
+        }
+        fleet.need(needs(decisions.waiting(), nowMicros));
+    }
+
+    private void admit(Job job, Map<String, int[]> tasks, long nowMicros) {
+        int attempt = job.lastAttempt + 1;
+        List<Booking> booked = new ArrayList<>();
+        tasks.forEach((machineName, indexes) -> {
+            Machine machine = board.machines.get(machineName);
+            for (int task : indexes) {
+                booked.add(board.book(job, task, attempt, machine, nowMicros));
+            }
+        });
+        recorder.admit(job, attempt, tasks, onRecord -> {
+            if (onRecord) {
+                LOG.debug("{} attempt {}: {} tasks admitted on {}", job.spec.id(), attempt, booked.size(),
+                        tasks.keySet());
+                booked.forEach(booking -> booking.persisted = true);
+            } else {
+                booked.forEach(booking -> board.free(booking, clock.nowMicros()));
+            }
+            wakeIn(SOON_MICROS);
+        });
+    }
+
+    private Snapshot snapshot(long nowMicros) {
+        List<MachineView> machines = new ArrayList<>();
+        Map<String, double[]> used = new HashMap<>();
+        for (Machine machine : board.machines.values()) {
+            double cpus = 0;
+            double gpus = 0;
+            double memoryGb = 0;
+            Set<String> images = new HashSet<>(machine.images());
+            List<TaskView> tasks = new ArrayList<>(machine.bookings.size());
+            for (Booking booking : machine.bookings.values()) {
+                JobSpec spec = booking.job.spec;
+                cpus += spec.cpus();
+                gpus += spec.gpus();
+                memoryGb += spec.memoryGb();
+                images.add(spec.image());
+                double[] team = used.computeIfAbsent(spec.team(), name -> new double[2]);
+                team[0] += spec.cpus();
+                team[1] += spec.gpus();
+                long lostMicros = !booking.running() ? 0 : spec.checkpointMicros() > 0 ? spec.saveMicros()
+                        : nowMicros - booking.runningSinceMicros;
+                tasks.add(new TaskView(spec, booking.task, booking.stop, lostMicros));
+            }
+            if (machine.usable() && nowMicros - machine.heardMicros < quietMicros()) {
+                machines.add(new MachineView(machine.name, machine.type, machine.zone, machine.spot,
+                        machine.type.cpus() - cpus, machine.type.gpus() - gpus,
+                        machine.type.memoryGb() - memoryGb, images, tasks));
+            }
+        }
+        List<JobView> jobs = new ArrayList<>();
+        for (Job job : board.jobs.values()) {
+            if (job.canBeBooked(nowMicros)) {
+                Map<String, Integer> zones = new HashMap<>();
+                if (job.spec.oneZone() || job.spec.spread()) {
+                    for (Booking booking : job.bookings.values()) {
+                        zones.merge(String.valueOf(booking.machine.zone), 1, Integer::sum);
+                    }
+                }
+                jobs.add(new JobView(job.spec, (BitSet) job.pending.clone(), job.acceptedMicros, zones,
+                        job.badMachines));
+            }
+        }
+        List<TeamView> teams = new ArrayList<>();
+        for (Settings.Team team : parts.settings().teams()) {
+            double[] use = used.getOrDefault(team.name(), new double[2]);
+            teams.add(new TeamView(team, use[0], use[1]));
+        }
+        return new Snapshot(machines, jobs, teams);
+    }
+
+    /** A machine this long without a word gets no new work until it is heard again. */
+    private long quietMicros() {
+        return Math.max(2 * parts.settings().workers().reportMicros(),
+                parts.settings().workers().leaseMicros() / 3);
+    }
+
+    private List<FleetPlanner.Need> needs(List<Decisions.Waiting> waiting, long nowMicros) {
+        List<FleetPlanner.Need> needs = new ArrayList<>();
+        for (Decisions.Waiting item : waiting) {
+            if (!item.byQuota()) {
+                JobSpec spec = item.spec();
+                Job job = board.jobs.get(spec.id());
+                needs.add(new FleetPlanner.Need(spec, item.tasks(), spec.estimateMicros(),
+                        horizonMicros(job, nowMicros)));
+            }
+        }
+        return needs;
+    }
+
+    /** How long the rest of the job may take so that it is done well before its deadline or its class's aim. */
+    private long horizonMicros(Job job, long nowMicros) {
+        long dueMicros = job.spec.deadlineMicros();
+        for (Settings.Objective aim : parts.settings().objectives()) {
+            if (aim.kind().equals("finished") && aim.jobClass().equals(job.spec.jobClass())) {
+                dueMicros = dueMicros == 0 ? aim.withinMicros() : Math.min(dueMicros, aim.withinMicros());
+            }
+        }
+        if (dueMicros == 0) {
+            dueMicros = 4 * job.spec.estimateMicros();
+        }
+        long leftMicros = job.acceptedMicros + dueMicros - nowMicros;
+        return Math.max(0, (long) (leftMicros * 0.5) - job.spec.estimateMicros() / 2);
+    }
+
+    /** Halts and forgets that need not wait for the next report. A late copy of either does no harm. */
+    private void direct() {
+        for (Machine machine : board.machines.values()) {
+            if (machine.directInFlight || !machine.underToken || machine.released || machine.address == null) {
+                continue;
+            }
+            List<Order> orders = new ArrayList<>(reconciler.forgets(machine));
+            for (Booking booking : machine.bookings.values()) {
+                if (booking.stop && booking.seen && !booking.haltSent) {
+                    booking.haltSent = true;
+                    orders.add(Order.halt(booking.name, booking.attempt, booking.graceMicros));
+                }
+            }
+            if (orders.isEmpty()) {
+                continue;
+            }
+            machine.directInFlight = true;
+            parts.caller().call(new Caller.Call(machine.address, "POST", "/orders",
+                    CheckinCodec.direct(token, machine.session, orders), DIRECT_TIMEOUT_MICROS),
+                    answer -> machine.directInFlight = false);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/app/WarmUp.java
@@ -0,0 +1,3 @@
+package org.weldcourse.app;
+
+public final class WarmUp { static void run() { } }
--- /dev/null
+++ b/src/main/java/org/weldcourse/fleet/FleetKeeper.java
@@ -0,0 +1,326 @@
+package org.weldcourse.fleet;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.weldcourse.admission.Board;
+import org.weldcourse.admission.Booking;
+import org.weldcourse.admission.Machine;
+import org.weldcourse.fleet.FleetPlanner.Offer;
+import org.weldcourse.jobs.JobSpec;
+import org.weldcourse.runtime.Clock;
+import org.weldcourse.runtime.Duty;
+import org.weldcourse.runtime.Timers;
+import org.weldcourse.settings.Settings;
+import org.weldcourse.settings.Tuning;
+import org.weldcourse.store.Pacer;
+
+/** Rents for what waits, returns what is idle, silent, faulty or never came up, and adopts what it finds. */
+public final class FleetKeeper extends Duty {
+    private static final Logger LOG = LoggerFactory.getLogger(FleetKeeper.class);
+    private static final long STEP_MICROS = 1_000_000;
+    private static final long LIST_MICROS = 6_000_000;
+    private static final long REFUSED_MICROS = 15_000_000;
+    private static final int MOST_PER_REQUEST = 50;
+    private static final int MOST_NEW_AT_ONCE = 30;
+    private static final int JOBS_TO_BLAME_MACHINE = 2;
+
+    private final Board board;
+    private final Cloud cloud;
+    private final TypesDuty types;
+    private final Settings settings;
+    private final Tuning tuning;
+    private final long token;
+    private final Freed freed;
+    private final Pacer calls;
+    private final long startedMicros;
+    private final Map<Offer, Long> refusedUntil = new HashMap<>();
+    private final Map<String, JobSpec> startAims = new HashMap<>();
+    /** Names whose release was answered: the lagging list and late reports still speak of them for a while. */
+    private final Set<String> releasedNames = new HashSet<>();
+    private final ArrayDeque<Runnable> again = new ArrayDeque<>();
+    private List<FleetPlanner.Need> needs = List.of();
+    private long nextListMicros;
+    private long requests;
+    private int rentalsInFlight;
+    private boolean releaseInFlight;
+    private boolean listInFlight;
+
+    /** Told when machines are known to be gone and their tasks are free. */
+    public interface Freed {
+        void machinesGone();
+    }
+
+    public FleetKeeper(Board board, Cloud cloud, TypesDuty types, Settings settings, Tuning tuning, long token,
+            Clock clock, Timers timers, Freed freed) {
+        super("fleet", clock, timers);
+        this.board = board;
+        this.cloud = cloud;
+        this.types = types;
+        this.settings = settings;
+        this.tuning = tuning;
+        this.token = token;
+        this.freed = freed;
+        this.calls = new Pacer(clock, settings.cloud().requestsPerSecond() * 0.8,
+                settings.cloud().requestsPerSecond());
+        this.startedMicros = clock.nowMicros();
+    }
+
+    /** What found no room in the last admission cycle. */
+    public void need(List<FleetPlanner.Need> waiting) {
+        needs = waiting;
+    }
+
+    /** Remembers the shape of jobs whose class has an aim for its start. */
+    public void jobSeen(JobSpec job) {
+        for (Settings.Objective aim : settings.objectives()) {
+            if (aim.kind().equals("wait") && aim.jobClass().equals(job.jobClass())) {
+                startAims.put(job.jobClass(), job);
+            }
+        }
+    }
+
+    public boolean isGone(String machine) {
+        return releasedNames.contains(machine);
+    }
+
+    @Override
+    protected long step() {
+        long nowMicros = clock.nowMicros();
+        if (types.known().isEmpty()) {
+            return STEP_MICROS / 2;
+        }
+        for (Machine machine : board.machines.values()) {
+            if (machine.type == null && machine.heardMicros >= 0) {
+                nextListMicros = Math.min(nextListMicros, nowMicros);
+            }
+        }
+        if (nowMicros >= nextListMicros && !listInFlight && calls.tryTake(1)) {
+            list(nowMicros);
+        }
+        while (!again.isEmpty() && calls.tryTake(1)) {
+            again.poll().run();
+        }
+        release(nowMicros);
+        rent(nowMicros);
+        return STEP_MICROS;
+    }
+
+    private void list(long nowMicros) {
+        listInFlight = true;
+        nextListMicros = nowMicros + LIST_MICROS;
+        cloud.list(listed -> {
+            listInFlight = false;
+            if (listed == null || !isRunning()) {
+                return;
+            }
+            for (Cloud.Listed item : listed) {
+                adopt(item, clock.nowMicros());
+            }
+            wakeIn(0);
+        });
+    }
+
+    private void adopt(Cloud.Listed item, long nowMicros) {
+        Machine machine = board.machines.get(item.name());
+        if (machine == null) {
+            if (releasedNames.contains(item.name())) {
+                return;
+            }
+            machine = board.machine(item.name(), nowMicros - item.ageMicros());
+        }
+        machine.type = types.byName(item.type());
+        machine.zone = item.zone();
+        machine.spot = item.spot();
+        machine.sinceMicros = Math.min(machine.sinceMicros, nowMicros - item.ageMicros());
+        machine.failed |= item.failed();
+    }
+
+    private void rent(long nowMicros) {
+        if (rentalsInFlight > 0) {
+            return;
+        }
+        refusedUntil.values().removeIf(until -> until <= nowMicros);
+        List<FleetPlanner.Host> hosts = new ArrayList<>();
+        for (Machine machine : board.machines.values()) {
+            boolean booting = !machine.isUp() && !overdue(machine, nowMicros);
+            if (machine.type != null && !machine.releasing && (booting || machine.usable())) {
+                hosts.add(new FleetPlanner.Host(machine.type, machine.zone, machine.spot, booting));
+            }
+        }
+        List<FleetPlanner.Need> wanted = new ArrayList<>(needs);
+        for (JobSpec shape : startAims.values()) {
+            int missing = tuning.warmMachines() - openHosts(shape, nowMicros);
+            if (missing > 0 && wanted.stream().noneMatch(need -> need.job().jobClass().equals(shape.jobClass()))) {
+                wanted.add(new FleetPlanner.Need(shape, missing, shape.estimateMicros(), 0));
+            }
+        }
+        List<FleetPlanner.Rental> plan = FleetPlanner.plan(wanted, hosts, types.known(), refusedUntil.keySet(),
+                MOST_NEW_AT_ONCE);
+        for (FleetPlanner.Rental rental : plan) {
+            if (calls.tryTake(1)) {
+                // The token is this term's alone and the counter never repeats: no name is used twice.
+                rent("w-" + token + "-" + ++requests, rental.offer(), Math.min(MOST_PER_REQUEST, rental.count()));
+            }
+        }
+    }
+
+    private void rent(String request, Offer offer, int count) {
+        rentalsInFlight++;
+        cloud.rent(request, offer.type(), offer.zone(), offer.spot(), count, rental -> {
+            rentalsInFlight--;
+            if (!isRunning()) {
+                return;
+            }
+            long nowMicros = clock.nowMicros();
+            switch (rental.outcome()) {
+                case OK -> {
+                    for (String name : rental.machines()) {
+                        Machine machine = board.machine(name, nowMicros);
+                        machine.type = types.byName(offer.type());
+                        machine.zone = offer.zone();
+                        machine.spot = offer.spot();
+                    }
+                    LOG.info("rented {} of {} {} in {}{}", rental.machines().size(), count, offer.type(),
+                            offer.zone(), offer.spot() ? ", spot" : "");
+                    if (rental.machines().size() < count) {
+                        refusedUntil.put(offer, nowMicros + REFUSED_MICROS);
+                    }
+                }
+                case NO_CAPACITY -> refusedUntil.put(offer, nowMicros + REFUSED_MICROS);
+                // It may have gone through: the same name again rents nothing twice.
+                case UNKNOWN -> again.add(() -> rent(request, offer, count));
+                case TROUBLE -> refusedUntil.put(offer, nowMicros + 2_000_000);
+            }
+            wakeIn(50_000);
+        });
+    }
+
+    private boolean overdue(Machine machine, long nowMicros) {
+        return machine.type != null && nowMicros - machine.sinceMicros > 3 * machine.type.bootMicros() + 20_000_000;
+    }
+
+    /** Machines, up or on their way, that could take a job of this shape without waiting for its equals. */
+    private int openHosts(JobSpec shape, long nowMicros) {
+        int open = 0;
+        for (Machine machine : board.machines.values()) {
+            if (canHost(machine, shape, nowMicros)) {
+                open++;
+            }
+        }
+        return open;
+    }
+
+    private boolean canHost(Machine machine, JobSpec shape, long nowMicros) {
+        if (machine.type == null || machine.releasing || machine.released || machine.failed
+                || machine.takenBackAtMicros != Long.MAX_VALUE || !machine.isUp() && overdue(machine, nowMicros)
+                || !machine.type.fits(shape) || machine.spot && !shape.spot()) {
+            return false;
+        }
+        double cpus = machine.type.cpus();
+        for (Booking booking : machine.bookings.values()) {
+            if (booking.job.spec.rank().compareTo(shape.rank()) <= 0) {
+                cpus -= booking.job.spec.cpus();
+            }
+        }
+        return cpus + MachineType.EPSILON >= shape.cpus();
+    }
+
+    private void release(long nowMicros) {
+        if (releaseInFlight) {
+            return;
+        }
+        List<String> names = new ArrayList<>();
+        Map<String, Integer> spare = new HashMap<>();
+        startAims.forEach((name, shape) -> spare.put(name, openHosts(shape, nowMicros) - tuning.warmMachines()));
+        for (Machine machine : board.machines.values()) {
+            String why = whyRelease(machine, nowMicros);
+            if (why == null && mayGo(machine, spare, nowMicros)) {
+                why = "idle";
+            }
+            if (why != null && names.size() < 100) {
+                if (!machine.releasing) {
+                    LOG.info("returns {} ({}): {}", machine.name, machine.type == null ? "?" : machine.type.name(),
+                            why);
+                }
+                names.add(machine.name);
+            }
+        }
+        if (names.isEmpty() || !calls.tryTake(1)) {
+            return;
+        }
+        releaseInFlight = true;
+        for (String name : names) {
+            Machine machine = board.machines.get(name);
+            machine.releasing = true;
+            machine.released = true;
+        }
+        cloud.release(names, confirmed -> {
+            releaseInFlight = false;
+            if (!isRunning() || !confirmed) {
+                return;
+            }
+            for (String name : names) {
+                Machine machine = board.machines.get(name);
+                if (machine != null) {
+                    releasedNames.add(name);
+                    board.gone(machine, clock.nowMicros());
+                }
+            }
+            freed.machinesGone();
+            wakeIn(0);
+        });
+    }
+
+    private String whyRelease(Machine machine, long nowMicros) {
+        if (machine.releasing) {
+            return "asked before";
+        }
+        if (machine.failed) {
+            return "failed";
+        }
+        if (machine.jobsFailed.size() >= JOBS_TO_BLAME_MACHINE && machine.donesSinceError == 0) {
+            return "faulty";
+        }
+        if (!machine.isUp()) {
+            boolean booked = !machine.bookings.isEmpty() || machine.type == null;
+            long waitedMicros = nowMicros - startedMicros;
+            if (booked) {
+                // Known only from an earlier leader's records, and not heard of since.
+                return waitedMicros > settings.workers().leaseMicros() + 5_000_000 ? "silent" : null;
+            }
+            return overdue(machine, nowMicros) && waitedMicros > settings.workers().leaseMicros() ? "never came up"
+                    : null;
+        }
+        if (nowMicros - machine.heardMicros > silenceMicros()) {
+            return "silent";
+        }
+        return null;
+    }
+
+    private long silenceMicros() {
+        return settings.workers().leaseMicros();
+    }
+
+    private boolean mayGo(Machine machine, Map<String, Integer> spare, long nowMicros) {
+        if (!machine.isUp() || !machine.bookings.isEmpty() || !machine.strangers.isEmpty()
+                || nowMicros - machine.idleSinceMicros < tuning.idleHoldMicros()) {
+            return false;
+        }
+        for (Map.Entry<String, JobSpec> aim : startAims.entrySet()) {
+            if (canHost(machine, aim.getValue(), nowMicros)) {
+                if (spare.get(aim.getKey()) <= 0) {
+                    return false;
+                }
+                spare.merge(aim.getKey(), -1, Integer::sum);
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/fleet/TypesDuty.java
@@ -0,0 +1,114 @@
+package org.weldcourse.fleet;
+
+import java.util.List;
+import java.util.Map;
+import org.weldcourse.runtime.Clock;
+import org.weldcourse.runtime.Duty;
+import org.weldcourse.runtime.Timers;
+import org.weldcourse.store.Store;
+import org.weldcourse.store.Txn;
+
+/**
+ * Keeps the machine types at hand on every node: from the record in the state service, so that a cloud outage
+ * blinds nobody, and from the cloud where there is none yet or this node leads and wants today's prices.
+ */
+public final class TypesDuty extends Duty {
+    private static final String KEY = "types";
+    private static final long RETRY_MICROS = 700_000;
+    private static final long REFRESH_MICROS = 60_000_000;
+
+    private final Store store;
+    private final Cloud cloud;
+    private final Leads leads;
+    private List<MachineType> types = List.of();
+    private boolean busy;
+
+    /** Whether this node leads. */
+    public interface Leads {
+        boolean get();
+    }
+
+    public TypesDuty(Store store, Cloud cloud, Clock clock, Timers timers, Leads leads) {
+        super("types", clock, timers);
+        this.store = store;
+        this.cloud = cloud;
+        this.leads = leads;
+    }
+
+    public List<MachineType> known() {
+        return types;
+    }
+
+    public MachineType byName(String name) {
+        for (MachineType type : types) {
+            if (type.name().equals(name)) {
+                return type;
+            }
+        }
+        return null;
+    }
+
+    @Override
+    protected long step() {
+        if (busy) {
+            return -1;
+        }
+        busy = true;
+        if (leads.get()) {
+            ask();
+        } else {
+            recall();
+        }
+        return -1;
+    }
+
+    private void recall() {
+        store.get(KEY, read -> {
+            if (read.entry() != null) {
+                types = MachineType.list(read.entry().value());
+            }
+            if (types.isEmpty()) {
+                ask();
+            } else {
+                next(REFRESH_MICROS);
+            }
+        });
+    }
+
+    private void ask() {
+        cloud.types(body -> {
+            if (body == null) {
+                if (types.isEmpty() && leads.get()) {
+                    recallOnce();
+                } else {
+                    next(RETRY_MICROS);
+                }
+                return;
+            }
+            types = MachineType.list(body);
+            remember(body);
+            next(REFRESH_MICROS);
+        });
+    }
+
+    private void recallOnce() {
+        store.get(KEY, read -> {
+            if (read.entry() != null) {
+                types = MachineType.list(read.entry().value());
+            }
+            next(RETRY_MICROS);
+        });
+    }
+
+    private void remember(Map<String, Object> body) {
+        if (leads.get()) {
+            store.commit(new Txn().put(KEY, body), commit -> {
+            });
+        }
+    }
+
+    private void next(long delayMicros) {
+        busy = false;
+        wakeIn(delayMicros);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/http/Caller.java
@@ -0,0 +1,26 @@
+package org.weldcourse.http;
+
+import java.util.Map;
+
+/** Sends a request to another host and hands back what came of it, always later and on the event loop. */
+public interface Caller {
+    void call(Call call, Done done);
+
+    /** A request; {@code body} is null where there is none. */
+    record Call(String address, String method, String path, Map<String, Object> body, long timeoutMicros) {
+    }
+
+    interface Done {
+        void accept(Answer answer);
+    }
+
+    /** {@code status} is 0 when no answer came (it may have been carried out), -1 when it was never sent. */
+    record Answer(int status, Map<String, Object> body) {
+        public static final Answer NONE = new Answer(0, Map.of());
+        public static final Answer NOT_SENT = new Answer(-1, Map.of());
+
+        public boolean ok() {
+            return status == 200;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/http/Json.java
@@ -0,0 +1,173 @@
+package org.weldcourse.http;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/** JSON by Jackson's streaming core, to and from plain maps, lists, strings, booleans and numbers. */
+public final class Json {
+    private static final JsonFactory FACTORY = JsonFactory.builder()
+            .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(32).build())
+            .build();
+
+    private Json() {
+    }
+
+    /** Thrown for bytes that are not one JSON value. */
+    public static final class BadJson extends Exception {
+        BadJson(String message) {
+            super(message);
+        }
+    }
+
+    public static Object parse(byte[] bytes) throws BadJson {
+        try (JsonParser in = FACTORY.createParser(bytes)) {
+            if (in.nextToken() == null) {
+                throw new BadJson("empty");
+            }
+            Object value = value(in);
+            if (in.nextToken() != null) {
+                throw new BadJson("more than one value");
+            }
+            return value;
+        } catch (IOException malformed) {
+            throw new BadJson("not JSON");
+        }
+    }
+
+    /** The object that the bytes hold, or an empty one when they hold anything else. */
+    public static Map<String, Object> objectOrEmpty(byte[] bytes) {
+        try {
+            return object(parse(bytes));
+        } catch (BadJson notJson) {
+            return Map.of();
+        }
+    }
+
+    private static Object value(JsonParser in) throws IOException, BadJson {
+        JsonToken token = in.currentToken();
+        switch (token) {
+            case START_OBJECT -> {
+                Map<String, Object> map = new LinkedHashMap<>();
+                while (in.nextToken() == JsonToken.FIELD_NAME) {
+                    String name = in.currentName();
+                    in.nextToken();
+                    map.put(name, value(in));
+                }
+                return map;
+            }
+            case START_ARRAY -> {
+                List<Object> list = new ArrayList<>();
+                while (in.nextToken() != JsonToken.END_ARRAY) {
+                    list.add(value(in));
+                }
+                return list;
+            }
+            case VALUE_STRING -> {
+                return in.getText();
+            }
+            case VALUE_NUMBER_INT -> {
+                return in.getNumberType() == JsonParser.NumberType.BIG_INTEGER
+                        ? (Object) in.getBigIntegerValue() : (Object) in.getLongValue();
+            }
+            case VALUE_NUMBER_FLOAT -> {
+                return in.getDoubleValue();
+            }
+            case VALUE_TRUE -> {
+                return Boolean.TRUE;
+            }
+            case VALUE_FALSE -> {
+                return Boolean.FALSE;
+            }
+            case VALUE_NULL -> {
+                return null;
+            }
+            default -> throw new BadJson("unexpected " + token);
+        }
+    }
+
+    public static byte[] bytes(Object value) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream(256);
+        try (JsonGenerator generator = FACTORY.createGenerator(out)) {
+            write(generator, value);
+        } catch (IOException impossible) {
+            throw new UncheckedIOException(impossible);
+        }
+        return out.toByteArray();
+    }
+
+    private static void write(JsonGenerator out, Object value) throws IOException {
+        if (value == null) {
+            out.writeNull();
+        } else if (value instanceof String text) {
+            out.writeString(text);
+        } else if (value instanceof Integer number) {
+            out.writeNumber(number);
+        } else if (value instanceof Long number) {
+            out.writeNumber(number);
+        } else if (value instanceof Double number) {
+            out.writeNumber(number);
+        } else if (value instanceof Boolean flag) {
+            out.writeBoolean(flag);
+        } else if (value instanceof Map<?, ?> map) {
+            out.writeStartObject();
+            for (Map.Entry<?, ?> entry : map.entrySet()) {
+                out.writeFieldName((String) entry.getKey());
+                write(out, entry.getValue());
+            }
+            out.writeEndObject();
+        } else if (value instanceof Iterable<?> list) {
+            out.writeStartArray();
+            for (Object item : list) {
+                write(out, item);
+            }
+            out.writeEndArray();
+        } else {
+            throw new IllegalArgumentException("no JSON form for " + value.getClass());
+        }
+    }
+
+    /** An object from names and values in turn. */
+    public static Map<String, Object> of(Object... namesAndValues) {
+        Map<String, Object> map = new LinkedHashMap<>();
+        for (int i = 0; i < namesAndValues.length; i += 2) {
+            map.put((String) namesAndValues[i], namesAndValues[i + 1]);
+        }
+        return map;
+    }
+
+    @SuppressWarnings("unchecked")
+    public static Map<String, Object> object(Object value) {
+        return value instanceof Map<?, ?> map ? (Map<String, Object>) map : Map.of();
+    }
+
+    @SuppressWarnings("unchecked")
+    public static List<Object> list(Object value) {
+        return value instanceof List<?> list ? (List<Object>) list : List.of();
+    }
+
+    public static String text(Map<String, Object> from, String name) {
+        return from.get(name) instanceof String text ? text : null;
+    }
+
+    public static long integer(Map<String, Object> from, String name, long otherwise) {
+        return from.get(name) instanceof Long number ? number : otherwise;
+    }
+
+    public static double decimal(Map<String, Object> from, String name, double otherwise) {
+        return from.get(name) instanceof Number number ? number.doubleValue() : otherwise;
+    }
+
+    public static boolean flag(Map<String, Object> from, String name) {
+        return Boolean.TRUE.equals(from.get(name));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/http/NettyCaller.java
@@ -0,0 +1,187 @@
+package org.weldcourse.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** The caller on Netty: keeps idle connections by address, one request at a time on each. */
+public final class NettyCaller implements Caller {
+    private static final int MOST_RESPONSE_BYTES = 16 * 1024 * 1024;
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_500;
+
+    private final EventLoop loop;
+    private final Map<String, ArrayDeque<Line>> idle = new HashMap<>();
+
+    public NettyCaller(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    @Override
+    public void call(Call call, Done done) {
+        Line line = takeIdle(call.address());
+        Exchange exchange = new Exchange(call, done);
+        exchange.timeout = loop.schedule(exchange::giveUp, call.timeoutMicros(), TimeUnit.MICROSECONDS);
+        if (line != null) {
+            line.send(exchange);
+            return;
+        }
+        Line fresh = new Line(call.address());
+        int colon = call.address().lastIndexOf(':');
+        ChannelFuture connecting = new Bootstrap()
+                .group(loop)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(new HttpClientCodec())
+                                .addLast(new HttpObjectAggregator(MOST_RESPONSE_BYTES))
+                                .addLast(fresh);
+                    }
+                })
+                .connect(call.address().substring(0, colon), Integer.parseInt(call.address().substring(colon + 1)));
+        exchange.channel = connecting.channel();
+        connecting.addListener(future -> {
+            if (!future.isSuccess()) {
+                exchange.finish(Answer.NOT_SENT);
+            } else if (exchange.finished) {
+                connecting.channel().close();
+            } else {
+                fresh.send(exchange);
+            }
+        });
+    }
+
+    private Line takeIdle(String address) {
+        ArrayDeque<Line> lines = idle.get(address);
+        while (lines != null && !lines.isEmpty()) {
+            Line line = lines.pollLast();
+            if (line.context.channel().isActive()) {
+                return line;
+            }
+        }
+        idle.remove(address);
+        return null;
+    }
+
+    /** One request and its answer; finishes exactly once. */
+    private static final class Exchange {
+        final Call call;
+        final Done done;
+        java.util.concurrent.Future<?> timeout;
+        Channel channel;
+        boolean sent;
+        boolean finished;
+
+        Exchange(Call call, Done done) {
+            this.call = call;
+            this.done = done;
+        }
+
+        void giveUp() {
+            if (!finished) {
+                finish(sent ? Answer.NONE : Answer.NOT_SENT);
+                if (channel != null) {
+                    channel.close();
+                }
+            }
+        }
+
+        void finish(Answer answer) {
+            if (finished) {
+                return;
+            }
+            finished = true;
+            timeout.cancel(false);
+            done.accept(answer);
+        }
+    }
+
+    /** A connection to one address. */
+    private final class Line extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private final String address;
+        private ChannelHandlerContext context;
+        private Exchange current;
+
+        Line(String address) {
+            this.address = address;
+        }
+
+        @Override
+        public void handlerAdded(ChannelHandlerContext ctx) {
+            context = ctx;
+        }
+
+        void send(Exchange exchange) {
+            current = exchange;
+            exchange.channel = context.channel();
+            exchange.sent = true;
+            byte[] body = exchange.call.body() == null ? new byte[0] : Json.bytes(exchange.call.body());
+            DefaultFullHttpRequest request = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1,
+                    HttpMethod.valueOf(exchange.call.method()), exchange.call.path(), Unpooled.wrappedBuffer(body));
+            request.headers().set(HttpHeaderNames.HOST, address);
+            request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            if (body.length > 0) {
+                request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+            }
+            context.writeAndFlush(request);
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+            Exchange answered = current;
+            current = null;
+            if (answered == null) {
+                ctx.close();
+                return;
+            }
+            byte[] body = ByteBufUtil.getBytes(response.content());
+            if (HttpUtil.isKeepAlive(response)) {
+                idle.computeIfAbsent(address, a -> new ArrayDeque<>()).addLast(this);
+            } else {
+                ctx.close();
+            }
+            answered.finish(new Answer(response.status().code(), Json.objectOrEmpty(body)));
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            ArrayDeque<Line> lines = idle.get(address);
+            if (lines != null) {
+                lines.remove(this);
+            }
+            if (current != null) {
+                Exchange lost = current;
+                current = null;
+                lost.finish(Answer.NONE);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/http/Server.java
@@ -0,0 +1,135 @@
+package org.weldcourse.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** The HTTP side that users, workers and health checks reach. */
+public final class Server {
+    private static final Logger LOG = LoggerFactory.getLogger(Server.class);
+    private static final int MOST_BODY_BYTES = 64 * 1024;
+
+    private final EventLoop loop;
+    private final Handler handler;
+    private final int mostConnections;
+    private int connections;
+
+    public Server(EventLoop loop, Handler handler, int mostConnections) {
+        this.loop = loop;
+        this.handler = handler;
+        this.mostConnections = mostConnections;
+    }
+
+    public interface Handler {
+        void handle(Request request, Reply reply);
+    }
+
+    public record Request(String method, String path, byte[] body) {
+    }
+
+    /** Takes the one answer to a request. */
+    public interface Reply {
+        void send(int status, Map<String, Object> body, int retryAfterSeconds);
+
+        default void send(int status, Map<String, Object> body) {
+            send(status, body, 0);
+        }
+
+        /** A refusal that tells the client when to come back. */
+        default void refuse(int status, String why, int retryAfterSeconds) {
+            send(status, Json.of("error", why), retryAfterSeconds);
+        }
+    }
+
+    public void listen(String address) throws InterruptedException {
+        int colon = address.lastIndexOf(':');
+        new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .option(ChannelOption.SO_BACKLOG, 128)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        if (connections >= mostConnections) {
+                            channel.close();
+                            return;
+                        }
+                        connections++;
+                        channel.closeFuture().addListener(closed -> connections--);
+                        channel.pipeline()
+                                .addLast(new HttpServerCodec())
+                                .addLast(new HttpObjectAggregator(MOST_BODY_BYTES))
+                                .addLast(new Connection());
+                    }
+                })
+                .bind(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))
+                .sync();
+    }
+
+    /** The routine of one connection. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest message) {
+            boolean keepAlive = HttpUtil.isKeepAlive(message);
+            Request request = new Request(message.method().name(), message.uri(),
+                    ByteBufUtil.getBytes(message.content()));
+            Reply reply = (status, body, retryAfterSeconds) ->
+                    respond(ctx, keepAlive, status, body, retryAfterSeconds);
+            if (message.decoderResult().isFailure()) {
+                respond(ctx, false, 400, Json.of("error", "malformed request"), 0);
+                return;
+            }
+            try {
+                handler.handle(request, reply);
+            } catch (RuntimeException unexpected) {
+                LOG.error("unexpected error on {} {}", request.method(), request.path(), unexpected);
+                respond(ctx, keepAlive, 503, Json.of("error", "internal"), 1);
+            }
+        }
+
+        private void respond(ChannelHandlerContext ctx, boolean keepAlive, int status, Map<String, Object> body,
+                int retryAfterSeconds) {
+            byte[] bytes = Json.bytes(body);
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes));
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+            if (retryAfterSeconds > 0) {
+                response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterSeconds);
+            }
+            if (keepAlive) {
+                ctx.writeAndFlush(response);
+            } else {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/jobs/JobApi.java
@@ -0,0 +1,239 @@
+package org.weldcourse.jobs;
+
+import com.github.benmanes.caffeine.cache.Cache;
+import com.github.benmanes.caffeine.cache.Caffeine;
+import java.util.List;
+import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.weldcourse.fleet.MachineType;
+import org.weldcourse.http.Json;
+import org.weldcourse.http.Server.Reply;
+import org.weldcourse.jobs.JobCodec.Malformed;
+import org.weldcourse.runtime.Clock;
+import org.weldcourse.settings.Settings;
+import org.weldcourse.store.Store;
+import org.weldcourse.store.Store.Outcome;
+import org.weldcourse.store.Txn;
+
+/**
+ * Submissions, polls and cancellations, on any node. Every answer rests on what the state service holds; only
+ * final states are remembered, as they can't change any more.
+ */
+public final class JobApi {
+    private static final Logger LOG = LoggerFactory.getLogger(JobApi.class);
+    private static final int MOST_IN_FLIGHT = 64;
+    private static final int MOST_TRIES = 4;
+
+    private final Store store;
+    private final Settings settings;
+    private final Clock clock;
+    private final Types types;
+    private final Cache<String, Map<String, Object>> finals =
+            Caffeine.newBuilder().maximumSize(4_000).executor(Runnable::run).build();
+    private int inFlight;
+
+    /** The machine types as last heard; empty while they are unknown. */
+    public interface Types {
+        List<MachineType> known();
+    }
+
+    public JobApi(Store store, Settings settings, Clock clock, Types types) {
+        this.store = store;
+        this.settings = settings;
+        this.clock = clock;
+        this.types = types;
+    }
+
+    public void submit(byte[] body, Reply reply) {
+        JobSpec spec;
+        try {
+            if (!(Json.parse(body) instanceof Map<?, ?> object)) {
+                reply.send(400, Json.of("error", "not an object"));
+                return;
+            }
+            spec = JobCodec.spec(Json.object(object));
+        } catch (Json.BadJson | Malformed bad) {
+            reply.send(400, Json.of("error", bad.getMessage()));
+            return;
+        }
+        Reply counted = admit(reply);
+        if (counted == null) {
+            return;
+        }
+        // A job that was accepted before is known, whatever today's types and limits say of it.
+        String refusal = types.known().isEmpty() ? null : refusal(spec);
+        if (types.known().isEmpty() || refusal != null) {
+            lookUp(spec.id(), counted, () -> {
+                if (refusal == null) {
+                    counted.refuse(503, "machine types are not known yet", 1);
+                } else {
+                    counted.send(422, Json.of("error", refusal));
+                }
+            });
+            return;
+        }
+        put(spec, clock.wallMicros(), MOST_TRIES, counted);
+    }
+
+    private void put(JobSpec spec, long nowWallMicros, int tries, Reply reply) {
+        Txn txn = new Txn().guard(Keys.open(spec.id()), 0).guard(Keys.done(spec.id()), 0)
+                .put(Keys.open(spec.id()), JobCodec.record(spec, nowWallMicros, false));
+        store.commit(txn, commit -> {
+            if (commit.outcome() == Outcome.OK) {
+                LOG.debug("{}: accepted", spec.id());
+                reply.send(201, state(spec.id(), "queued", 0, 0));
+            } else if (commit.outcome() == Outcome.NO) {
+                lookUp(spec.id(), reply, () -> reply.refuse(503, "try again", 1));
+            } else if (commit.outcome() == Outcome.UNKNOWN && tries > 1) {
+                put(spec, nowWallMicros, tries - 1, reply);
+            } else {
+                refuse(commit.outcome(), reply);
+            }
+        });
+    }
+
+    public void poll(String id, Reply reply) {
+        if (!JobCodec.isId(id)) {
+            reply.send(404, Json.of("error", "no such job"));
+            return;
+        }
+        Reply counted = admit(reply);
+        if (counted != null) {
+            lookUp(id, counted, () -> counted.send(404, Json.of("error", "no such job")));
+        }
+    }
+
+    public void withdraw(String id, Reply reply) {
+        if (!JobCodec.isId(id)) {
+            reply.send(404, Json.of("error", "no such job"));
+            return;
+        }
+        Reply counted = admit(reply);
+        if (counted != null) {
+            withdraw(id, MOST_TRIES, counted);
+        }
+    }
+
+    private void withdraw(String id, int tries, Reply reply) {
+        store.get(Keys.open(id), read -> {
+            if (read.outcome() == Outcome.NO) {
+                lookUpFinal(id, reply, () -> reply.send(404, Json.of("error", "no such job")));
+                return;
+            }
+            if (read.outcome() != Outcome.OK) {
+                refuse(read.outcome(), reply);
+                return;
+            }
+            Map<String, Object> record = read.entry().value();
+            if (JobCodec.isCancelled(record)) {
+                reply.send(200, state(id, "cancelled", 0, 0));
+                return;
+            }
+            record.put("cancelled", true);
+            Txn txn = new Txn().guard(Keys.open(id), read.entry().version()).put(Keys.open(id), record);
+            store.commit(txn, commit -> {
+                if (commit.outcome() == Outcome.OK) {
+                    LOG.info("{}: cancelled by its user", id);
+                    reply.send(200, state(id, "cancelled", 0, 0));
+                } else if (tries > 1 && (commit.outcome() == Outcome.NO || commit.outcome() == Outcome.UNKNOWN)) {
+                    withdraw(id, tries - 1, reply);
+                } else {
+                    refuse(commit.outcome(), reply);
+                }
+            });
+        });
+    }
+
+    /** Open first, then final: a job moves from the one to the other in one transaction, never back. */
+    private void lookUp(String id, Reply reply, Runnable absent) {
+        Map<String, Object> known = finals.getIfPresent(id);
+        if (known != null) {
+            reply.send(200, known);
+            return;
+        }
+        store.get(Keys.open(id), read -> {
+            if (read.outcome() == Outcome.NO) {
+                lookUpFinal(id, reply, absent);
+            } else if (read.outcome() != Outcome.OK) {
+                refuse(read.outcome(), reply);
+            } else if (JobCodec.isCancelled(read.entry().value())) {
+                reply.send(200, state(id, "cancelled", 0, 0));
+            } else {
+                progress(id, reply);
+            }
+        });
+    }
+
+    private void lookUpFinal(String id, Reply reply, Runnable absent) {
+        store.get(Keys.done(id), read -> {
+            if (read.outcome() == Outcome.NO) {
+                absent.run();
+            } else if (read.outcome() != Outcome.OK) {
+                refuse(read.outcome(), reply);
+            } else {
+                Map<String, Object> state = state(id, Json.text(read.entry().value(), "heat"),
+                        (int) Json.integer(read.entry().value(), "done", 0), 0);
+                finals.put(id, state);
+                reply.send(200, state);
+            }
+        });
+    }
+
+    /** Counts for display: the admitted tasks on record, less those on record as finished. */
+    private void progress(String id, Reply reply) {
+        store.list(Keys.slices(id), slices -> {
+            if (slices.outcome() != Outcome.OK) {
+                refuse(slices.outcome(), reply);
+                return;
+            }
+            int running = 0;
+            for (Store.Entry slice : slices.entries()) {
+                running += SliceCodec.countTasks(slice.value());
+            }
+            reply.send(200, state(id, running > 0 ? "running" : "queued", 0, running));
+        });
+    }
+
+    private String refusal(JobSpec spec) {
+        Settings.Team team = settings.team(spec.team());
+        if (team == null) {
+            return "unknown team";
+        }
+        int together = spec.gang() ? spec.tasks() : 1;
+        if (spec.cpus() * together > team.cpusMax() + 1e-9 || spec.gpus() * together > team.gpusMax() + 1e-9) {
+            return "more than the team's limit";
+        }
+        for (MachineType type : types.known()) {
+            if (type.fits(spec)) {
+                return null;
+            }
+        }
+        return "a task fits no allowed machine type";
+    }
+
+    /** Bounds the requests that wait on the state service; past the bound the user is told when to come back. */
+    private Reply admit(Reply reply) {
+        if (inFlight >= MOST_IN_FLIGHT) {
+            reply.refuse(429, "too many requests at once", 1);
+            return null;
+        }
+        inFlight++;
+        return (status, body, retryAfterSeconds) -> {
+            inFlight--;
+            reply.send(status, body, retryAfterSeconds);
+        };
+    }
+
+    private static void refuse(Outcome outcome, Reply reply) {
+        if (outcome == Outcome.BUDGET) {
+            reply.refuse(429, "the state service's budget is spent", 1);
+        } else {
+            reply.refuse(503, "the state service does not answer", 2);
+        }
+    }
+
+    private static Map<String, Object> state(String id, String state, int done, int running) {
+        return Json.of("name_id", id, "heat", state, "done", done, "running", running);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/runtime/Duty.java
@@ -0,0 +1,80 @@
+package org.weldcourse.runtime;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/**
+ * A long-lived routine on the event loop. It sleeps until its next step is due or until it is woken.
+ * An unexpected error is logged and the duty goes on after a pause: one fault must not end a controller.
+ */
+public abstract class Duty {
+    private static final Logger LOG = LoggerFactory.getLogger(Duty.class);
+    private static final long PAUSE_AFTER_ERROR_MICROS = 500_000;
+
+    private final String name;
+    private final Timers timers;
+    private Timers.Timer next;
+    private long dueMicros;
+    private boolean running;
+    protected final Clock clock;
+
+    protected Duty(String name, Clock clock, Timers timers) {
+        this.name = name;
+        this.clock = clock;
+        this.timers = timers;
+    }
+
+    /** Does what is due and returns the microseconds until the next step; negative: sleep until woken. */
+    protected abstract long step();
+
+    public final void start() {
+        running = true;
+        wakeIn(0);
+    }
+
+    /** Ends the routine. No step follows. */
+    public void cancel() {
+        running = false;
+        if (next != null) {
+            next.cancel();
+            next = null;
+        }
+    }
+
+    public final boolean isRunning() {
+        return running;
+    }
+
+    /** Makes sure that a step comes within the given time; an earlier one that is due already stands. */
+    public final void wakeIn(long delayMicros) {
+        if (!running) {
+            return;
+        }
+        long atMicros = clock.nowMicros() + delayMicros;
+        if (next != null) {
+            if (dueMicros <= atMicros) {
+                return;
+            }
+            next.cancel();
+        }
+        dueMicros = atMicros;
+        next = timers.after(delayMicros, this::run);
+    }
+
+    private void run() {
+        next = null;
+        if (!running) {
+            return;
+        }
+        long pauseMicros;
+        try {
+            pauseMicros = step();
+        } catch (RuntimeException unexpected) {
+            LOG.error("{}: unexpected error, goes on after a pause", name, unexpected);
+            pauseMicros = PAUSE_AFTER_ERROR_MICROS;
+        }
+        if (pauseMicros >= 0) {
+            wakeIn(pauseMicros);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/settings/Settings.java
@@ -0,0 +1,55 @@
+package org.weldcourse.settings;
+
+import java.util.List;
+
+/** What the platform's file says. Amounts keep the file's units, durations are microseconds. */
+public record Settings(
+        String nodeName,
+        String zone,
+        String listenAddress,
+        String peerAddress,
+        List<Peer> peers,
+        String cloudAddress,
+        String stateAddress,
+        List<String> zones,
+        List<Team> teams,
+        List<Objective> objectives,
+        Workers workers,
+        State state,
+        Cloud cloud,
+        int maxSockets) {
+
+    public record Peer(String name, String zone, String address) {
+    }
+
+    /** A guarantee or limit of 0 in the file means none: no guarantee, no limit. */
+    public record Team(String name, double cpus, double cpusMax, double gpus, double gpusMax) {
+        public Team {
+            cpusMax = cpusMax > 0 ? cpusMax : Double.POSITIVE_INFINITY;
+            gpusMax = gpusMax > 0 ? gpusMax : Double.POSITIVE_INFINITY;
+        }
+    }
+
+    /** An aim: {@code kind} is wait, finished or deadline; the time is 0 where it doesn't apply. */
+    public record Objective(String kind, String jobClass, long withinMicros, double share, double times) {
+    }
+
+    public record Workers(long reportMicros, long leaseMicros, long gangWaitMicros, long gangPeerMicros,
+            long cancelMicros) {
+    }
+
+    public record State(double requestsPerSecond, double writesPerSecond, int valueBytes, int txnOps) {
+    }
+
+    public record Cloud(double requestsPerSecond, long listLagMicros) {
+    }
+
+    public Team team(String name) {
+        for (Team team : teams) {
+            if (team.name().equals(name)) {
+                return team;
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/settings/SettingsFile.java
@@ -0,0 +1,153 @@
+package org.weldcourse.settings;
+
+import com.electronwill.nightconfig.core.UnmodifiableConfig;
+import com.electronwill.nightconfig.core.io.ParsingException;
+import com.electronwill.nightconfig.toml.TomlParser;
+import java.io.IOException;
+import java.io.Reader;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+
+/** Reads the platform's TOML file. Unknown fields are ignored; what is missing or invalid is named. */
+public final class SettingsFile {
+    private SettingsFile() {
+    }
+
+    /** Says in one line what is wrong with the settings. */
+    public static final class Invalid extends Exception {
+        public Invalid(String message) {
+            super(message);
+        }
+    }
+
+    public static Settings read(Path file) throws Invalid {
+        try (Reader in = Files.newBufferedReader(file)) {
+            return parse(in);
+        } catch (IOException unreadable) {
+            throw new Invalid("can't read " + file + ": " + unreadable.getMessage());
+        }
+    }
+
+    public static Settings parse(Reader in) throws Invalid {
+        UnmodifiableConfig root;
+        try {
+            root = new TomlParser().parse(in);
+        } catch (ParsingException malformed) {
+            throw new Invalid("not TOML: " + String.valueOf(malformed.getMessage()).lines().findFirst().orElse(""));
+        }
+        UnmodifiableConfig deployment = table(root, "deployment");
+        UnmodifiableConfig workers = table(deployment, "workers");
+        UnmodifiableConfig state = table(deployment, "state");
+        UnmodifiableConfig cloud = table(deployment, "cloud");
+        UnmodifiableConfig endpoints = table(root, "endpoints");
+        List<Settings.Peer> peers = new ArrayList<>();
+        for (UnmodifiableConfig peer : tables(root, "known")) {
+            peers.add(new Settings.Peer(text(peer, "host_name"), text(peer, "site"), address(peer, "address")));
+        }
+        List<Settings.Team> teams = new ArrayList<>();
+        for (UnmodifiableConfig team : tables(deployment, "teams")) {
+            teams.add(new Settings.Team(text(team, "name"), number(team, "cpus"), number(team, "cpus_max"),
+                    number(team, "gpus"), number(team, "gpus_max")));
+        }
+        List<Settings.Objective> objectives = new ArrayList<>();
+        for (UnmodifiableConfig aim : tables(deployment, "objectives")) {
+            objectives.add(new Settings.Objective(text(aim, "kind"), text(aim, "class"),
+                    micros(optional(aim, "within_s", 0)), optional(aim, "share", 0), optional(aim, "times", 1)));
+        }
+        return new Settings(
+                text(root, "host_name"), text(root, "site"), address(root, "api_addr"), address(root, "back"),
+                List.copyOf(peers), address(endpoints, "cloud"), address(endpoints, "state"),
+                texts(deployment, "zones"), List.copyOf(teams), List.copyOf(objectives),
+                new Settings.Workers(positiveMicros(workers, "report_s"), positiveMicros(workers, "lease_s"),
+                        positiveMicros(workers, "gang_wait_s"), positiveMicros(workers, "gang_peer_s"),
+                        positiveMicros(workers, "cancel_s")),
+                new Settings.State(positive(state, "rps"), positive(state, "write_rps"),
+                        (int) (positive(state, "value_kb") * 1024), (int) positive(state, "txn_ops")),
+                new Settings.Cloud(positive(cloud, "rps"), micros(number(cloud, "list_lag_s"))),
+                (int) positive(table(deployment, "quota"), "max_sockets"));
+    }
+
+    private static long micros(double seconds) {
+        return Math.round(seconds * 1e6);
+    }
+
+    private static UnmodifiableConfig table(UnmodifiableConfig from, String name) throws Invalid {
+        if (from.get(List.of(name)) instanceof UnmodifiableConfig table) {
+            return table;
+        }
+        throw new Invalid("missing or invalid table: " + name);
+    }
+
+    private static List<UnmodifiableConfig> tables(UnmodifiableConfig from, String name) throws Invalid {
+        Object value = from.get(List.of(name));
+        List<UnmodifiableConfig> tables = new ArrayList<>();
+        if (value == null) {
+            return tables;
+        }
+        if (!(value instanceof List<?> items)) {
+            throw new Invalid("invalid list of tables: " + name);
+        }
+        for (Object item : items) {
+            if (!(item instanceof UnmodifiableConfig table)) {
+                throw new Invalid("invalid list of tables: " + name);
+            }
+            tables.add(table);
+        }
+        return tables;
+    }
+
+    private static List<String> texts(UnmodifiableConfig from, String name) throws Invalid {
+        if (!(from.get(List.of(name)) instanceof List<?> items)) {
+            throw new Invalid("missing or invalid field: " + name);
+        }
+        List<String> texts = new ArrayList<>();
+        for (Object item : items) {
+            if (!(item instanceof String text)) {
+                throw new Invalid("missing or invalid field: " + name);
+            }
+            texts.add(text);
+        }
+        return List.copyOf(texts);
+    }
+
+    private static String text(UnmodifiableConfig from, String name) throws Invalid {
+        if (from.get(List.of(name)) instanceof String text && !text.isEmpty()) {
+            return text;
+        }
+        throw new Invalid("missing or invalid field: " + name);
+    }
+
+    private static String address(UnmodifiableConfig from, String name) throws Invalid {
+        String address = text(from, name);
+        if (address.matches("[^:]+:[0-9]{1,5}")) {
+            return address;
+        }
+        throw new Invalid("not HOST:PORT: " + name);
+    }
+
+    private static double number(UnmodifiableConfig from, String name) throws Invalid {
+        if (from.get(List.of(name)) instanceof Number number && number.doubleValue() >= 0
+                && Double.isFinite(number.doubleValue())) {
+            return number.doubleValue();
+        }
+        throw new Invalid("missing or invalid field: " + name);
+    }
+
+    private static double optional(UnmodifiableConfig from, String name, double otherwise) throws Invalid {
+        return from.get(List.of(name)) == null ? otherwise : number(from, name);
+    }
+
+    private static double positive(UnmodifiableConfig from, String name) throws Invalid {
+        double number = number(from, name);
+        if (number > 0) {
+            return number;
+        }
+        throw new Invalid("must be above 0: " + name);
+    }
+
+    private static long positiveMicros(UnmodifiableConfig from, String name) throws Invalid {
+        return micros(positive(from, name));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/store/Pacer.java
@@ -0,0 +1,41 @@
+package org.weldcourse.store;
+
+import org.weldcourse.runtime.Clock;
+
+/** A bucket of permits that fills at a steady rate; background work takes from it, urgent work need not ask. */
+public final class Pacer {
+    private final Clock clock;
+    private final double perSecond;
+    private final double most;
+    private double level;
+    private long filledMicros;
+
+    public Pacer(Clock clock, double perSecond, double most) {
+        this.clock = clock;
+        this.perSecond = perSecond;
+        this.most = Math.max(1, most);
+        this.level = this.most;
+        this.filledMicros = clock.nowMicros();
+    }
+
+    public boolean tryTake(int permits) {
+        fill();
+        if (level < Math.min(permits, most)) {
+            return false;
+        }
+        level -= permits;
+        return true;
+    }
+
+    /** Spends permits that were used without asking; the level may go below zero. */
+    public void spend(int permits) {
+        fill();
+        level -= permits;
+    }
+
+    private void fill() {
+        long nowMicros = clock.nowMicros();
+        level = Math.min(most, level + (nowMicros - filledMicros) / 1e6 * perSecond);
+        filledMicros = nowMicros;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/store/Store.java
@@ -0,0 +1,174 @@
+package org.weldcourse.store;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.weldcourse.http.Caller;
+import org.weldcourse.http.Json;
+import org.weldcourse.runtime.Clock;
+
+/** Client of the state service. Every result says whether the request was carried out, refused or unknown. */
+public final class Store {
+    private static final long TIMEOUT_MICROS = 1_500_000;
+
+    private final Caller caller;
+    private final Clock clock;
+    private final String address;
+    private long lastServedMicros = Long.MIN_VALUE / 2;
+    private long failingSinceMicros = -1;
+
+    public Store(Caller caller, Clock clock, String address) {
+        this.caller = caller;
+        this.clock = clock;
+        this.address = address;
+    }
+
+    public enum Outcome {
+        /** Carried out, or read. */
+        OK,
+        /** A condition failed, or the key, lease or revision does not exist. */
+        NO,
+        /** Not carried out: over the budget. */
+        BUDGET,
+        /** Not carried out: an outage, or out of reach. */
+        DOWN,
+        /** No answer: carried out, or not, or later. */
+        UNKNOWN,
+        /** The service calls the request malformed, or its lease has ended. */
+        BAD
+    }
+
+    public record Entry(String key, Map<String, Object> value, long version, long lease) {
+    }
+
+    public record Read(Outcome outcome, Entry entry) {
+    }
+
+    public record Listing(Outcome outcome, List<Entry> entries, long revision) {
+    }
+
+    /** {@code failed} holds the keys whose condition did not hold. */
+    public record Commit(Outcome outcome, long revision, List<Object> failed) {
+    }
+
+    public record Grant(Outcome outcome, long lease) {
+    }
+
+    /** {@code value} is null for a key that was deleted. */
+    public record Event(String key, Map<String, Object> value, long version) {
+    }
+
+    public record Events(Outcome outcome, List<Event> events, long revision) {
+    }
+
+    /** When the service last answered a request of ours with anything but a refusal. */
+    public long lastServedMicros() {
+        return lastServedMicros;
+    }
+
+    /** Since when nothing but failures came, or -1 while it serves us. */
+    public long failingSinceMicros() {
+        return failingSinceMicros;
+    }
+
+    public void get(String key, Consumer<Read> then) {
+        send("GET", "/store/" + key, null, TIMEOUT_MICROS, answer -> {
+            Map<String, Object> body = answer.body();
+            then.accept(new Read(outcome(answer.status()), answer.ok()
+                    ? new Entry(key, Json.object(body.get("value")), Json.integer(body, "mark", 0),
+                            Json.integer(body, "permit", 0))
+                    : null));
+        });
+    }
+
+    /** Reads every key with the prefix, page by page. The revision is that of the first page. */
+    public void list(String prefix, Consumer<Listing> then) {
+        page(prefix, null, new ArrayList<>(), 0, then);
+    }
+
+    private void page(String prefix, String after, List<Entry> found, long revision, Consumer<Listing> then) {
+        String path = "/store?starts=" + prefix + (after == null ? "" : "&after=" + after) + "&most=1000";
+        send("GET", path, null, 2 * TIMEOUT_MICROS, answer -> {
+            if (!answer.ok()) {
+                then.accept(new Listing(outcome(answer.status()), List.of(), 0));
+                return;
+            }
+            for (Object item : Json.list(answer.body().get("pairs"))) {
+                Map<String, Object> pair = Json.object(item);
+                found.add(new Entry(Json.text(pair, "path"), Json.object(pair.get("value")),
+                        Json.integer(pair, "mark", 0), Json.integer(pair, "permit", 0)));
+            }
+            long first = revision > 0 ? revision : Json.integer(answer.body(), "ledger", 0);
+            if (Json.flag(answer.body(), "has_next") && !found.isEmpty()) {
+                page(prefix, found.get(found.size() - 1).key(), found, first, then);
+            } else {
+                then.accept(new Listing(Outcome.OK, found, first));
+            }
+        });
+    }
+
+    public void commit(Txn txn, Consumer<Commit> then) {
+        send("POST", "/commit", txn.body(), TIMEOUT_MICROS, answer ->
+                then.accept(new Commit(outcome(answer.status()), Json.integer(answer.body(), "ledger", 0),
+                        Json.list(answer.body().get("failed")))));
+    }
+
+    public void grant(long ttlMicros, Consumer<Grant> then) {
+        send("POST", "/grants", Json.of("ttl_ms", ttlMicros / 1000), TIMEOUT_MICROS, answer ->
+                then.accept(new Grant(outcome(answer.status()), Json.integer(answer.body(), "permit", 0))));
+    }
+
+    public void extend(long lease, long timeoutMicros, Consumer<Outcome> then) {
+        send("POST", "/grants/" + lease + "/extend", Map.of(), timeoutMicros, answer ->
+                then.accept(outcome(answer.status())));
+    }
+
+    public void endGrant(long lease, Consumer<Outcome> then) {
+        send("DELETE", "/grants/" + lease, null, TIMEOUT_MICROS, answer -> then.accept(outcome(answer.status())));
+    }
+
+    /** Waits for changes after a revision. */
+    public void watch(String prefix, long afterRevision, long waitMicros, Consumer<Events> then) {
+        String path = "/watch?starts=" + prefix + "&after=" + afterRevision + "&block_ms=" + waitMicros / 1000;
+        send("GET", path, null, waitMicros + TIMEOUT_MICROS, answer -> {
+            if (!answer.ok()) {
+                then.accept(new Events(outcome(answer.status()), List.of(), afterRevision));
+                return;
+            }
+            List<Event> events = new ArrayList<>();
+            for (Object item : Json.list(answer.body().get("events"))) {
+                Map<String, Object> event = Json.object(item);
+                String written = Json.text(event, "write");
+                events.add(written != null
+                        ? new Event(written, Json.object(event.get("value")), Json.integer(event, "mark", 0))
+                        : new Event(Json.text(event, "delete"), null, Json.integer(event, "mark", 0)));
+            }
+            then.accept(new Events(Outcome.OK, events, Json.integer(answer.body(), "ledger", afterRevision)));
+        });
+    }
+
+    private void send(String method, String path, Map<String, Object> body, long timeoutMicros, Caller.Done done) {
+        caller.call(new Caller.Call(address, method, path, body, timeoutMicros), answer -> {
+            int status = answer.status();
+            if (status > 0 && status != 503) {
+                lastServedMicros = clock.nowMicros();
+                failingSinceMicros = -1;
+            } else if (failingSinceMicros < 0) {
+                failingSinceMicros = clock.nowMicros();
+            }
+            done.accept(answer);
+        });
+    }
+
+    private static Outcome outcome(int status) {
+        return switch (status) {
+            case 200 -> Outcome.OK;
+            case 404, 409, 410 -> Outcome.NO;
+            case 429 -> Outcome.BUDGET;
+            case 503, -1 -> Outcome.DOWN;
+            case 0 -> Outcome.UNKNOWN;
+            default -> Outcome.BAD;
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/store/SureCommit.java
@@ -0,0 +1,59 @@
+package org.weldcourse.store;
+
+import org.weldcourse.runtime.Timers;
+import org.weldcourse.store.Store.Outcome;
+
+/**
+ * Repeats one transaction until the state service gives a definite answer. A commit without an answer may have
+ * been carried out or may be so later; a repeat of the very same one settles it, since its conditions hold once.
+ */
+public final class SureCommit {
+    private static final long RETRY_MICROS = 250_000;
+
+    private final Store store;
+    private final Timers timers;
+    private final Txn txn;
+    private final Alive alive;
+    private final Done done;
+    private boolean unclear;
+
+    /** False once nobody waits for the result. */
+    public interface Alive {
+        boolean get();
+    }
+
+    public interface Done {
+        /** {@code unclear}: an earlier try had no answer, so that a refusal may be the effect of its success. */
+        void accept(Store.Commit commit, boolean unclear);
+    }
+
+    private SureCommit(Store store, Timers timers, Txn txn, Alive alive, Done done) {
+        this.store = store;
+        this.timers = timers;
+        this.txn = txn;
+        this.alive = alive;
+        this.done = done;
+    }
+
+    public static void send(Store store, Timers timers, Txn txn, Alive alive, Done done) {
+        new SureCommit(store, timers, txn, alive, done).attempt();
+    }
+
+    private void attempt() {
+        if (!alive.get()) {
+            return;
+        }
+        store.commit(txn, commit -> {
+            if (!alive.get()) {
+                return;
+            }
+            if (commit.outcome() == Outcome.OK || commit.outcome() == Outcome.NO
+                    || commit.outcome() == Outcome.BAD) {
+                done.accept(commit, unclear);
+                return;
+            }
+            unclear |= commit.outcome() == Outcome.UNKNOWN;
+            timers.after(RETRY_MICROS, this::attempt);
+        });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/store/Txn.java
@@ -0,0 +1,40 @@
+package org.weldcourse.store;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.weldcourse.http.Json;
+
+/** A conditional transaction on the state service, in the making. */
+public final class Txn {
+    private final List<Object> guards = new ArrayList<>();
+    private final List<Object> then = new ArrayList<>();
+
+    public Txn guard(String key, long version) {
+        guards.add(Json.of("path", key, "mark", version));
+        return this;
+    }
+
+    public Txn put(String key, Object value) {
+        then.add(Json.of("write", key, "value", value));
+        return this;
+    }
+
+    public Txn put(String key, Object value, long lease) {
+        then.add(Json.of("write", key, "value", value, "permit", lease));
+        return this;
+    }
+
+    public Txn delete(String key) {
+        then.add(Json.of("delete", key));
+        return this;
+    }
+
+    public int ops() {
+        return then.size();
+    }
+
+    Map<String, Object> body() {
+        return Json.of("guards", guards, "then", then);
+    }
+}
