Fleet planned by work due, a deposed leader returns nothing, services accepted

The keeper now acts only while the state lease holds, and waits twice as long when most machines are silent together. Rentals: every waiting task got room of its own at once; now arrays share what is up or booting as far as it can do the work before it is due.

--- a/src/main/java/org/weldcourse/admission/Board.java
+++ b/src/main/java/org/weldcourse/admission/Board.java
@@ -72,7 +72,7 @@
                 if (job.spec.gang()) {
                     job.done.set(0, job.spec.tasks());
                     job.pending.clear();
-                } else {
+                } else if (!job.spec.service()) {
                     job.done.set(booking.task);
                 }
                 job.errors = 0;
--- a/src/main/java/org/weldcourse/admission/Planner.java
+++ b/src/main/java/org/weldcourse/admission/Planner.java
@@ -63,6 +63,10 @@
             memoryGb = machine.freeMemoryGb();
         }
 
+        double pricePerCpu() {
+            return machine.type().price(machine.spot()) / machine.type().cpus();
+        }
+
         int fits(JobSpec job) {
             double most = Math.floor((cpus + EPSILON) / job.cpus());
             if (job.gpus() > 0) {
@@ -218,9 +222,11 @@
         if (spec.oneZone()) {
             onlyZone = zoneCounts.isEmpty() ? roomiestZone(allowed, spec) : zoneCounts.keySet().iterator().next();
         }
-        // Where the image is already comes first, then the fullest machine, so that others run empty.
-        allowed.sort(Comparator.comparing((Room room) -> !room.machine.images().contains(spec.image()))
-                .thenComparingDouble(room -> room.cpus));
+        // The cheapest machines first and of those the fullest, so that the dear ones run empty and can go.
+        allowed.sort(Comparator.comparingDouble((Room room) -> room.pricePerCpu())
+                .thenComparing(room -> !room.machine.images().contains(spec.image()))
+                .thenComparingDouble(room -> room.cpus)
+                .thenComparing(room -> room.machine.name()));
         Map<Room, Integer> counts = new LinkedHashMap<>();
         int left = most;
         for (Room room : allowed) {
--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -48,6 +48,9 @@
     /** Short enough that a watch which went silent costs a cancellation little of its time. */
     private static final long WATCH_MICROS = 8_000_000;
     private static final long DIRECT_TIMEOUT_MICROS = 2_000_000;
+    /** Estimates err and machines boot late: plan to be done after this part of the time allowed. */
+    private static final double DUE_SHARE = 0.85;
+    private static final long LEAST_RUN_MICROS = 1_000_000;
     private static final long CANCEL_MARGIN_MICROS = 3_000_000;
 
     private final Parts parts;
@@ -85,7 +88,17 @@
                     }
                 });
         this.fleet = new FleetKeeper(board, parts.cloud(), parts.types(), parts.settings(), parts.tuning(), token,
-                parts.clock(), parts.timers(), () -> wakeIn(0));
+                parts.clock(), parts.timers(), new FleetKeeper.Office() {
+                    @Override
+                    public boolean holds() {
+                        return parts.leadership().leaseHolds();
+                    }
+
+                    @Override
+                    public void machinesGone() {
+                        wakeIn(0);
+                    }
+                });
     }
 
     /** Reads the records and begins to work. */
@@ -364,7 +377,7 @@
         for (Decisions.Admission admission : decisions.admissions()) {
             admit(board.jobs.get(admission.job()), admission.tasks(), nowMicros);
         }
-        fleet.need(needs(decisions.waiting(), nowMicros));
+        fleet.need(needs(decisions.waiting()));
     }
 
     private void admit(Job job, Map<String, int[]> tasks, long nowMicros) {
@@ -443,32 +456,32 @@
                 parts.settings().workers().leaseMicros() / 3);
     }
 
-    private List<FleetPlanner.Need> needs(List<Decisions.Waiting> waiting, long nowMicros) {
+    private List<FleetPlanner.Need> needs(List<Decisions.Waiting> waiting) {
         List<FleetPlanner.Need> needs = new ArrayList<>();
         for (Decisions.Waiting item : waiting) {
             if (!item.byQuota()) {
                 JobSpec spec = item.spec();
                 Job job = board.jobs.get(spec.id());
-                needs.add(new FleetPlanner.Need(spec, item.tasks(), spec.estimateMicros(),
-                        horizonMicros(job, nowMicros)));
+                needs.add(new FleetPlanner.Need(spec, item.tasks(),
+                        Math.max(LEAST_RUN_MICROS, spec.estimateMicros()),
+                        dueMicros(job)));
             }
         }
         return needs;
     }
 
-    /** How long the rest of the job may take so that it is done well before its deadline or its class's aim. */
-    private long horizonMicros(Job job, long nowMicros) {
-        long dueMicros = job.spec.deadlineMicros();
+    /** When the job should be done: well before its deadline, or the time that its class's aim names. */
+    private long dueMicros(Job job) {
+        long withinMicros = job.spec.deadlineMicros();
         for (Settings.Objective aim : parts.settings().objectives()) {
             if (aim.kind().equals("finished") && aim.jobClass().equals(job.spec.jobClass())) {
-                dueMicros = dueMicros == 0 ? aim.withinMicros() : Math.min(dueMicros, aim.withinMicros());
+                withinMicros = withinMicros == 0 ? aim.withinMicros() : Math.min(withinMicros, aim.withinMicros());
             }
         }
-        if (dueMicros == 0) {
-            dueMicros = 4 * job.spec.estimateMicros();
+        if (withinMicros == 0) {
+            withinMicros = 4 * job.spec.estimateMicros();
         }
-        long leftMicros = job.acceptedMicros + dueMicros - nowMicros;
-        return Math.max(0, (long) (leftMicros * 0.5) - job.spec.estimateMicros() / 2);
+        return job.acceptedMicros + (long) (withinMicros * DUE_SHARE);
     }
 
     /** Halts and forgets that need not wait for the next report. A late copy of either does no harm. */
--- a/src/main/java/org/weldcourse/fleet/FleetKeeper.java
+++ b/src/main/java/org/weldcourse/fleet/FleetKeeper.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -27,6 +28,8 @@
     private static final long STEP_MICROS = 1_000_000;
     private static final long LIST_MICROS = 6_000_000;
     private static final long REFUSED_MICROS = 15_000_000;
+    /** A machine is charged for this long at least, with a little less so that it goes before the next second. */
+    private static final long LEAST_CHARGED_MICROS = 58_000_000;
     private static final int MOST_PER_REQUEST = 50;
     private static final int MOST_NEW_AT_ONCE = 30;
     private static final int JOBS_TO_BLAME_MACHINE = 2;
@@ -37,11 +40,12 @@
     private final Settings settings;
     private final Tuning tuning;
     private final long token;
-    private final Freed freed;
+    private final Office office;
     private final Pacer calls;
     private final long startedMicros;
     private final Map<Offer, Long> refusedUntil = new HashMap<>();
     private final Map<String, JobSpec> startAims = new HashMap<>();
+    private final Map<String, Long> lastSeenMicros = new HashMap<>();
     /** Names whose release was answered: the lagging list and late reports still speak of them for a while. */
     private final Set<String> releasedNames = new HashSet<>();
     private final ArrayDeque<Runnable> again = new ArrayDeque<>();
@@ -50,15 +54,20 @@
     private long requests;
     private int rentalsInFlight;
     private boolean releaseInFlight;
+    private boolean hearsMost = true;
     private boolean listInFlight;
 
-    /** Told when machines are known to be gone and their tasks are free. */
-    public interface Freed {
+    /** The term that the fleet is kept for. */
+    public interface Office {
+        /** Whether the leader's lease holds: without it nothing is rented or returned. */
+        boolean holds();
+
+        /** Machines are known to be gone, and their tasks are free. */
         void machinesGone();
     }
 
     public FleetKeeper(Board board, Cloud cloud, TypesDuty types, Settings settings, Tuning tuning, long token,
-            Clock clock, Timers timers, Freed freed) {
+            Clock clock, Timers timers, Office office) {
         super("fleet", clock, timers);
         this.board = board;
         this.cloud = cloud;
@@ -66,7 +75,7 @@
         this.settings = settings;
         this.tuning = tuning;
         this.token = token;
-        this.freed = freed;
+        this.office = office;
         this.calls = new Pacer(clock, settings.cloud().requestsPerSecond() * 0.8,
                 settings.cloud().requestsPerSecond());
         this.startedMicros = clock.nowMicros();
@@ -82,6 +91,7 @@
         for (Settings.Objective aim : settings.objectives()) {
             if (aim.kind().equals("wait") && aim.jobClass().equals(job.jobClass())) {
                 startAims.put(job.jobClass(), job);
+                lastSeenMicros.put(job.jobClass(), clock.nowMicros());
             }
         }
     }
@@ -93,7 +103,8 @@
     @Override
     protected long step() {
         long nowMicros = clock.nowMicros();
-        if (types.known().isEmpty()) {
+        if (types.known().isEmpty() || !office.holds()) {
+            // A deposed leader that is cut off hears no worker: it must not return its successor's machines.
             return STEP_MICROS / 2;
         }
         for (Machine machine : board.machines.values()) {
@@ -101,6 +112,8 @@
                 nextListMicros = Math.min(nextListMicros, nowMicros);
             }
         }
+        // A class that has not been seen for long gets no machine kept warm for it.
+        startAims.keySet().removeIf(name -> nowMicros - lastSeenMicros.get(name) > tuning.warmHoldMicros());
         if (nowMicros >= nextListMicros && !listInFlight && calls.tryTake(1)) {
             list(nowMicros);
         }
@@ -151,18 +164,18 @@
         for (Machine machine : board.machines.values()) {
             boolean booting = !machine.isUp() && !overdue(machine, nowMicros);
             if (machine.type != null && !machine.releasing && (booting || machine.usable())) {
-                hosts.add(new FleetPlanner.Host(machine.type, machine.zone, machine.spot, booting));
+                hosts.add(host(machine, booting, nowMicros));
             }
         }
         List<FleetPlanner.Need> wanted = new ArrayList<>(needs);
         for (JobSpec shape : startAims.values()) {
             int missing = tuning.warmMachines() - openHosts(shape, nowMicros);
             if (missing > 0 && wanted.stream().noneMatch(need -> need.job().jobClass().equals(shape.jobClass()))) {
-                wanted.add(new FleetPlanner.Need(shape, missing, shape.estimateMicros(), 0));
+                wanted.add(new FleetPlanner.Need(shape, missing, shape.estimateMicros(), nowMicros));
             }
         }
         List<FleetPlanner.Rental> plan = FleetPlanner.plan(wanted, hosts, types.known(), refusedUntil.keySet(),
-                MOST_NEW_AT_ONCE);
+                MOST_NEW_AT_ONCE, nowMicros);
         for (FleetPlanner.Rental rental : plan) {
             if (calls.tryTake(1)) {
                 // The token is this term's alone and the counter never repeats: no name is used twice.
@@ -171,6 +184,17 @@
         }
     }
 
+    private static FleetPlanner.Host host(Machine machine, boolean booting, long nowMicros) {
+        long availableAtMicros = booting
+                ? Math.max(nowMicros + 5_000_000, machine.sinceMicros + machine.type.bootMicros()) : nowMicros;
+        double busyCpuMicros = 0;
+        for (Booking booking : machine.bookings.values()) {
+            busyCpuMicros += booking.leftMicros(nowMicros) * booking.job.spec.cpus();
+        }
+        return new FleetPlanner.Host(machine.type, machine.zone, machine.spot, booting, availableAtMicros,
+                busyCpuMicros);
+    }
+
     private void rent(String request, Offer offer, int count) {
         rentalsInFlight++;
         cloud.rent(request, offer.type(), offer.zone(), offer.spot(), count, rental -> {
@@ -237,9 +261,13 @@
             return;
         }
         List<String> names = new ArrayList<>();
+        hearsMost = hearsMost(nowMicros);
         Map<String, Integer> spare = new HashMap<>();
         startAims.forEach((name, shape) -> spare.put(name, openHosts(shape, nowMicros) - tuning.warmMachines()));
-        for (Machine machine : board.machines.values()) {
+        List<Machine> dearestFirst = new ArrayList<>(board.machines.values());
+        dearestFirst.sort(Comparator.comparingDouble(FleetKeeper::pricePerCpu).reversed()
+                .thenComparing(machine -> machine.name));
+        for (Machine machine : dearestFirst) {
             String why = whyRelease(machine, nowMicros);
             if (why == null && mayGo(machine, spare, nowMicros)) {
                 why = "idle";
@@ -273,11 +301,15 @@
                     board.gone(machine, clock.nowMicros());
                 }
             }
-            freed.machinesGone();
+            office.machinesGone();
             wakeIn(0);
         });
     }
 
+    private static double pricePerCpu(Machine machine) {
+        return machine.type == null ? 0 : machine.type.price(machine.spot) / machine.type.cpus();
+    }
+
     private String whyRelease(Machine machine, long nowMicros) {
         if (machine.releasing) {
             return "asked before";
@@ -298,19 +330,38 @@
             return overdue(machine, nowMicros) && waitedMicros > settings.workers().leaseMicros() ? "never came up"
                     : null;
         }
-        if (nowMicros - machine.heardMicros > silenceMicros()) {
+        if (nowMicros - machine.heardMicros > (hearsMost ? 1 : 2) * silenceMicros()) {
             return "silent";
         }
         return null;
     }
 
+    /** When most machines fall silent together, the fault is on this side: their tasks may well be running. */
+    private boolean hearsMost(long nowMicros) {
+        int up = 0;
+        int heard = 0;
+        for (Machine machine : board.machines.values()) {
+            if (machine.isUp() && !machine.releasing) {
+                up++;
+                heard += nowMicros - machine.heardMicros <= silenceMicros() ? 1 : 0;
+            }
+        }
+        return heard * 2 >= up;
+    }
+
     private long silenceMicros() {
         return settings.workers().leaseMicros();
     }
 
+    /** An idle machine stays about as long as it would take to have it back, a cheap one longer. */
+    private long holdMicros(Machine machine) {
+        return machine.spot ? tuning.idleHoldMicros() : tuning.idleHoldMicros() / 3;
+    }
+
     private boolean mayGo(Machine machine, Map<String, Integer> spare, long nowMicros) {
         if (!machine.isUp() || !machine.bookings.isEmpty() || !machine.strangers.isEmpty()
-                || nowMicros - machine.idleSinceMicros < tuning.idleHoldMicros()) {
+                || nowMicros - machine.idleSinceMicros < holdMicros(machine)
+                || nowMicros - machine.sinceMicros < LEAST_CHARGED_MICROS) {
             return false;
         }
         for (Map.Entry<String, JobSpec> aim : startAims.entrySet()) {
--- a/src/main/java/org/weldcourse/fleet/FleetPlanner.java
+++ b/src/main/java/org/weldcourse/fleet/FleetPlanner.java
@@ -9,10 +9,17 @@
 import org.weldcourse.jobs.JobSpec;
 
 /**
- * Which machines to rent for what waits, as a pure function. Work that can wait a little shares the machines
- * that are there or on their way; gangs and what is short of time get machines of their own.
+ * Which machines to rent for what waits, as a pure function. The tasks of arrays share the machines that are
+ * there or on their way as far as those can do the work in time; what they can't, and gangs, get new ones.
  */
 public final class FleetPlanner {
+    /** The part of a machine's time that work really gets, after fetches, gaps and uneven run times. */
+    private static final double EFFICIENCY = 0.85;
+    /** A shortfall below this part of a new machine's work is not worth a machine. */
+    private static final double WORTH_A_MACHINE = 0.25;
+    /** How much a machine is expected to earn back of its boot: the stay that boot time is weighed against. */
+    private static final double STAY_MICROS = 180e6;
+
     private FleetPlanner() {
     }
 
@@ -20,73 +27,80 @@
     public record Offer(String type, String zone, boolean spot) {
     }
 
-    /** A machine that is up, or on its way. */
-    public record Host(MachineType type, String zone, boolean spot, boolean booting) {
+    /** A machine from when it can take work, and the work that is on it already. */
+    public record Host(MachineType type, String zone, boolean spot, boolean booting, long availableAtMicros,
+            double busyCpuMicros) {
     }
 
-    /**
-     * Tasks that wait, in order of importance. {@code horizonMicros} is how long the whole of it may take once
-     * started; {@code runMicros} how long one task is expected to run.
-     */
-    public record Need(JobSpec job, int tasks, long runMicros, long horizonMicros) {
+    /** Tasks that wait, in order of importance, each expected to run so long, all of them due at a time. */
+    public record Need(JobSpec job, int tasks, long runMicros, long dueMicros) {
     }
 
     public record Rental(Offer offer, int count) {
     }
 
-    /** Room on a host that needs take from: whole slots for gangs, work for arrays. */
+    /** What is left of a host as needs take from it: whole slots for gangs, work for arrays. */
     private static final class Supply {
         final Host host;
         double gangCpus;
-        double workCpuMicros = -1;
+        double usedCpuMicros;
 
         Supply(Host host) {
             this.host = host;
             this.gangCpus = host.booting() ? host.type().cpus() : 0;
+            this.usedCpuMicros = host.busyCpuMicros();
+        }
+
+        /** Work of the need that it can do by the time it is due. */
+        double offers(Need need, long dueMicros) {
+            long windowMicros = dueMicros - host.availableAtMicros();
+            if (!allowed(need.job(), host) || windowMicros < need.runMicros()) {
+                return 0;
+            }
+            double most = EFFICIENCY * host.type().tasksThatFit(need.job()) * need.job().cpus() * windowMicros;
+            return Math.max(0, most - usedCpuMicros);
         }
     }
 
+    private static boolean allowed(JobSpec job, Host host) {
+        return host.type().fits(job) && job.allowsZone(host.zone()) && (job.spot() || !host.spot());
+    }
+
     public static List<Rental> plan(List<Need> needs, List<Host> hosts, List<MachineType> types,
-            Set<Offer> refused, int mostMachines) {
+            Set<Offer> refused, int mostMachines, long nowMicros) {
         List<Supply> supplies = new ArrayList<>();
         hosts.forEach(host -> supplies.add(new Supply(host)));
-        Map<Offer, Integer> counts = new HashMap<>();
-        List<Offer> order = new ArrayList<>();
-        int rented = 0;
+        List<Offer> chosen = new ArrayList<>();
         for (Need need : needs) {
-            double left = need.job().gang() ? takeSlots(need, supplies) : takeWork(need, supplies);
-            while (left > 0 && rented < mostMachines) {
-                Choice best = best(need, types, refused, counts);
-                if (best == null) {
-                    break;
-                }
-                Offer offer = best.offer;
-                if (counts.merge(offer, 1, Integer::sum) == 1) {
-                    order.add(offer);
-                }
-                rented++;
-                Supply supply = new Supply(new Host(best.type, offer.zone(), offer.spot(), true));
-                supplies.add(supply);
-                left -= need.job().gang() ? takeSlots(supply, need, (int) left) : takeWork(supply, need, left);
+            if (need.job().gang() || need.job().service()) {
+                planGang(need, supplies, types, refused, mostMachines, nowMicros, chosen);
+            } else {
+                planArray(need, supplies, types, refused, mostMachines, nowMicros, chosen);
             }
         }
+        Map<Offer, Integer> counts = new HashMap<>();
         List<Rental> rentals = new ArrayList<>();
-        for (Offer offer : order) {
-            rentals.add(new Rental(offer, counts.get(offer)));
-        }
+        chosen.forEach(offer -> counts.merge(offer, 1, Integer::sum));
+        chosen.stream().distinct().forEach(offer -> rentals.add(new Rental(offer, counts.get(offer))));
         return rentals;
     }
 
-    private static boolean allowed(JobSpec job, Host host) {
-        return host.type().fits(job) && job.allowsZone(host.zone()) && (job.spot() || !host.spot());
-    }
-
-    private static double takeSlots(Need need, List<Supply> supplies) {
+    private static void planGang(Need need, List<Supply> supplies, List<MachineType> types, Set<Offer> refused,
+            int mostMachines, long nowMicros, List<Offer> chosen) {
         int left = need.tasks();
         for (Supply supply : supplies) {
             left -= takeSlots(supply, need, left);
         }
-        return left;
+        while (left > 0 && chosen.size() < mostMachines) {
+            Choice best = best(need, types, refused, Long.MAX_VALUE, nowMicros);
+            if (best == null) {
+                return;
+            }
+            Supply supply = best.supply(nowMicros);
+            supplies.add(supply);
+            chosen.add(best.offer);
+            left -= takeSlots(supply, need, left);
+        }
     }
 
     private static int takeSlots(Supply supply, Need need, int wanted) {
@@ -100,32 +114,52 @@
         return taken;
     }
 
-    private static double takeWork(Need need, List<Supply> supplies) {
+    private static void planArray(Need need, List<Supply> supplies, List<MachineType> types, Set<Offer> refused,
+            int mostMachines, long nowMicros, List<Offer> chosen) {
         double left = (double) need.tasks() * need.runMicros() * need.job().cpus();
+        long dueMicros = Math.max(need.dueMicros(), soonest(need, types, refused, nowMicros));
         for (Supply supply : supplies) {
-            left -= takeWork(supply, need, left);
+            double taken = Math.min(left, supply.offers(need, dueMicros));
+            supply.usedCpuMicros += taken;
+            left -= taken;
+        }
+        while (left > 0 && chosen.size() < mostMachines) {
+            Choice best = best(need, types, refused, dueMicros, nowMicros);
+            if (best == null) {
+                return;
+            }
+            Supply supply = best.supply(nowMicros);
+            double offered = supply.offers(need, dueMicros);
+            if (offered <= 0 || left < WORTH_A_MACHINE * offered && !supplies.isEmpty()) {
+                return;
+            }
+            supplies.add(supply);
+            chosen.add(best.offer);
+            double taken = Math.min(left, offered);
+            supply.usedCpuMicros += taken;
+            left -= taken;
         }
-        return left;
     }
 
-    private static double takeWork(Supply supply, Need need, double wanted) {
-        if (wanted <= 0 || !allowed(need.job(), supply.host)) {
-            return 0;
-        }
-        if (supply.workCpuMicros < 0) {
-            int slots = supply.host.type().tasksThatFit(need.job());
-            double share = supply.host.booting() ? 1 : 0.8;
-            supply.workCpuMicros = share * slots * need.job().cpus() * Math.max(need.horizonMicros(), need.runMicros());
+    /** When a new machine could have done a task at the earliest: what is due before that is late anyway. */
+    private static long soonest(Need need, List<MachineType> types, Set<Offer> refused, long nowMicros) {
+        Choice quickest = null;
+        for (Choice choice : choices(need, types, refused)) {
+            if (quickest == null || choice.type.bootMicros() < quickest.type.bootMicros()) {
+                quickest = choice;
+            }
         }
-        double taken = Math.min(wanted, supply.workCpuMicros);
-        supply.workCpuMicros -= taken;
-        return taken;
+        return quickest == null ? nowMicros
+                : nowMicros + quickest.type.bootMicros() * 5 / 4 + need.runMicros() * 2;
     }
 
     private record Choice(Offer offer, MachineType type, double cost) {
+        Supply supply(long nowMicros) {
+            return new Supply(new Host(type, offer.zone(), offer.spot(), true, nowMicros + type.bootMicros(), 0));
+        }
     }
 
-    private static Choice best(Need need, List<MachineType> types, Set<Offer> refused, Map<Offer, Integer> counts) {
+    private static List<Choice> choices(Need need, List<MachineType> types, Set<Offer> refused) {
         List<Choice> choices = new ArrayList<>();
         for (MachineType type : types) {
             if (!type.fits(need.job())) {
@@ -133,21 +167,26 @@
             }
             int slots = Math.max(1, type.tasksThatFit(need.job()));
             int used = need.job().gang() ? Math.min(slots, need.tasks()) : slots;
+            double boot = 1 + type.bootMicros() / STAY_MICROS;
             for (String zone : type.zones()) {
                 for (boolean spot : new boolean[] {true, false}) {
                     Offer offer = new Offer(type.name(), zone, spot);
                     if (spot && !need.job().spot() || !need.job().allowsZone(zone) || refused.contains(offer)) {
                         continue;
                     }
-                    // Booting is paid and brings nothing: it weighs against a nominal stay of three minutes.
-                    double boot = 1 + type.bootMicros() / 180e6;
-                    // Spread over offers: one that was chosen in this plan already is likelier to be full.
-                    double crowd = 1 + 0.02 * counts.getOrDefault(offer, 0);
-                    choices.add(new Choice(offer, type, type.price(spot) / (used * need.job().cpus()) * boot * crowd));
+                    choices.add(new Choice(offer, type, type.price(spot) / (used * need.job().cpus()) * boot));
                 }
             }
         }
-        return choices.stream().min(Comparator.comparingDouble((Choice choice) -> choice.cost)
-                .thenComparing(choice -> choice.offer.toString())).orElse(null);
+        return choices;
+    }
+
+    private static Choice best(Need need, List<MachineType> types, Set<Offer> refused, long dueMicros,
+            long nowMicros) {
+        return choices(need, types, refused).stream()
+                .filter(choice -> nowMicros + choice.type.bootMicros() + need.runMicros() <= dueMicros)
+                .min(Comparator.comparingDouble((Choice choice) -> choice.cost)
+                        .thenComparing(choice -> choice.offer.toString()))
+                .orElse(null);
     }
 }
--- a/src/main/java/org/weldcourse/jobs/JobCodec.java
+++ b/src/main/java/org/weldcourse/jobs/JobCodec.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.weldcourse.http.Json;
 import org.weldcourse.jobs.JobSpec.Rank;
+import org.weldcourse.jobs.JobSpec.Shape;
 
 /** The users' words for a job, and the record that the state service keeps of it. */
 public final class JobCodec {
@@ -33,9 +34,10 @@
         if (!isId(id)) {
             throw new Malformed("name_id");
         }
-        boolean gang = switch (text(body, "shape")) {
-            case "array" -> false;
-            case "ensemble" -> true;
+        Shape shape = switch (text(body, "shape")) {
+            case "array" -> Shape.ARRAY;
+            case "ensemble" -> Shape.GANG;
+            case "service" -> Shape.SERVICE;
             default -> throw new Malformed("shape");
         };
         Rank rank = switch (text(body, "rank")) {
@@ -54,7 +56,7 @@
             throw new Malformed("cpus");
         }
         Object due = body.get("due_s");
-        return new JobSpec(id, text(body, "course"), text(body, "crew"), gang, rank, (int) tasks,
+        return new JobSpec(id, text(body, "course"), text(body, "crew"), shape, rank, (int) tasks,
                 cpus, amount(body, "gpus"), amount(body, "mem_gb"),
                 text(body, "blank"), amount(body, "size_gb"), types(body), zone(body),
                 flag(body, "together"), flag(body, "apart"), flag(body, "loaners"),
@@ -64,7 +66,11 @@
 
     /** The record under {@code open/}: the user's words, the time of acceptance and whether it is cancelled. */
     public static Map<String, Object> record(JobSpec spec, long acceptedWallMicros, boolean cancelled) {
-        String shape = spec.gang() ? "ensemble" : "array";
+        String shape = switch (spec.shape()) {
+            case ARRAY -> "array";
+            case GANG -> "ensemble";
+            case SERVICE -> "service";
+        };
         String rank = switch (spec.rank()) {
             case PRODUCTION -> "prod";
             case HIGH -> "urgent";
--- a/src/main/java/org/weldcourse/jobs/JobSpec.java
+++ b/src/main/java/org/weldcourse/jobs/JobSpec.java
@@ -7,7 +7,7 @@
         String id,
         String jobClass,
         String team,
-        boolean gang,
+        Shape shape,
         Rank rank,
         int tasks,
         double cpus,
@@ -28,6 +28,17 @@
     /** From the most to the least important. */
     public enum Rank { PRODUCTION, HIGH, NORMAL, LOW }
 
+    /** Services have no end of their own: they run until their user cancels them. */
+    public enum Shape { ARRAY, GANG, SERVICE }
+
+    public boolean gang() {
+        return shape == Shape.GANG;
+    }
+
+    public boolean service() {
+        return shape == Shape.SERVICE;
+    }
+
     /** How many tasks one zone may hold. */
     public int mostPerZone() {
         return spread ? (tasks + 1) / 2 : tasks;
--- a/src/main/java/org/weldcourse/settings/Tuning.java
+++ b/src/main/java/org/weldcourse/settings/Tuning.java
@@ -13,8 +13,9 @@
  * Operators' own settings, from an optional XML file: one {@code <weldcourse>} element whose children name a
  * duration in seconds or a plain number. What the file leaves out keeps its default.
  */
-public record Tuning(long stateLeaseMicros, long idleHoldMicros, int warmMachines) {
-    public static final Tuning DEFAULT = new Tuning(4_000_000, 30_000_000, 1);
+public record Tuning(long stateLeaseMicros, long idleHoldMicros, int warmMachines,
+        long warmHoldMicros) {
+    public static final Tuning DEFAULT = new Tuning(4_000_000, 30_000_000, 1, 90_000_000);
 
     public static Tuning read(Path file) throws SettingsFile.Invalid {
         try (InputStream in = Files.newInputStream(file)) {
@@ -32,6 +33,7 @@
         long stateLeaseMicros = DEFAULT.stateLeaseMicros;
         long idleHoldMicros = DEFAULT.idleHoldMicros;
         int warmMachines = DEFAULT.warmMachines;
+        long warmHoldMicros = DEFAULT.warmHoldMicros;
         try {
             XMLStreamReader reader = factory.createXMLStreamReader(in);
             boolean root = true;
@@ -56,6 +58,7 @@
                     case "state-lease-s" -> stateLeaseMicros = micros(name, text, 1, 60);
                     case "idle-hold-s" -> idleHoldMicros = micros(name, text, 0, 3600);
                     case "warm-machines" -> warmMachines = (int) number(name, text, 0, 1000);
+                    case "warm-hold-s" -> warmHoldMicros = micros(name, text, 0, 86_400);
                     default -> throw new SettingsFile.Invalid("operators' settings: unknown element <" + name + ">");
                 }
             }
@@ -63,7 +66,7 @@
             throw new SettingsFile.Invalid("operators' settings: not XML as expected, line "
                     + malformed.getLocation().getLineNumber());
         }
-        return new Tuning(stateLeaseMicros, idleHoldMicros, warmMachines);
+        return new Tuning(stateLeaseMicros, idleHoldMicros, warmMachines, warmHoldMicros);
     }
 
     private static long micros(String name, String text, double least, double most) throws SettingsFile.Invalid {
