--- a/src/main/java/org/weldcourse/admission/Board.java
+++ b/src/main/java/org/weldcourse/admission/Board.java
@@ -19,6 +19,7 @@
 
     public final Map<String, Job> jobs = new HashMap<>();
     public final Map<String, Machine> machines = new HashMap<>();
+    public final RunTimes runTimes = new RunTimes();
     /** Where a task was last reported on a machine and not exited. */
     private final Map<TaskName, Machine> present = new HashMap<>();
 
@@ -76,6 +77,10 @@
                     job.done.set(booking.task);
                 }
                 job.errors = 0;
+                // Only a run seen from its start tells its length, and a checkpoint would hide some of it.
+                if (booking.runningSinceMicros >= 0 && booking.sawStart) {
+                    runTimes.finished(job, nowMicros - booking.runningSinceMicros);
+                }
             }
             case ERROR -> {
                 LOG.info("{} attempt {} failed on {}", booking.name, booking.attempt, machine.name);
--- a/src/main/java/org/weldcourse/admission/Booking.java
+++ b/src/main/java/org/weldcourse/admission/Booking.java
@@ -22,6 +22,8 @@
     public long graceMicros;
     public boolean haltSent;
     public long runningSinceMicros = -1;
+    /** This leader sent it to run, so that the time since it was first seen running is all that it ran. */
+    public boolean sawStart;
 
     public Booking(Job job, int task, int attempt, Machine machine, long bookedMicros) {
         this.job = job;
@@ -36,12 +38,6 @@
         return state == Report.State.RUNNING || state == Report.State.SAVING;
     }
 
-    /** How long it should still run, going by its owner's estimate. */
-    public long leftMicros(long nowMicros) {
-        long ranMicros = running() ? nowMicros - runningSinceMicros : 0;
-        return Math.max(job.spec.estimateMicros() / 4, job.spec.estimateMicros() - ranMicros);
-    }
-
     /** Asks for its end; a longer grace that was asked for before is kept unless this one says none. */
     public void requestStop(long newGraceMicros) {
         if (!stop || newGraceMicros == 0 && graceMicros != 0) {
--- a/src/main/java/org/weldcourse/admission/Job.java
+++ b/src/main/java/org/weldcourse/admission/Job.java
@@ -24,6 +24,8 @@
     public boolean cancelled;
     public int lastAttempt;
     public int errors;
+    public int finishedRuns;
+    public long finishedMicros;
     public long notBeforeMicros;
     public boolean savingDone;
     public boolean closing;
--- a/src/main/java/org/weldcourse/admission/Planner.java
+++ b/src/main/java/org/weldcourse/admission/Planner.java
@@ -63,8 +63,10 @@
             memoryGb = machine.freeMemoryGb();
         }
 
-        double pricePerCpu() {
-            return machine.type().price(machine.spot()) / machine.type().cpus();
+        /** Price per CPU in coarse steps: spot prices wander, and a small difference decides nothing. */
+        int priceStep() {
+            double price = machine.type().price(machine.spot()) / machine.type().cpus();
+            return price <= 0 ? 0 : (int) Math.round(Math.log(price) / Math.log(1.4));
         }
 
         int fits(JobSpec job) {
@@ -123,7 +125,7 @@
     private void run(List<JobView> jobs) {
         Map<String, List<JobView>> queues = new LinkedHashMap<>();
         List<JobView> ordered = new ArrayList<>(jobs);
-        ordered.sort(Comparator.comparing((JobView job) -> job.spec().rank()).thenComparingLong(Planner::urgency)
+        ordered.sort(Comparator.comparing((JobView job) -> job.spec().rank()).thenComparingLong(JobView::latestStartMicros)
                 .thenComparing(job -> job.spec().id()));
         for (JobView job : ordered) {
             queues.computeIfAbsent(job.spec().team(), team -> new ArrayList<>()).add(job);
@@ -139,11 +141,6 @@
         }
     }
 
-    /** Jobs with a deadline come by it, others by age. */
-    private static long urgency(JobView job) {
-        return job.acceptedMicros() + job.spec().deadlineMicros();
-    }
-
     private JobView bestHead(Map<String, List<JobView>> queues) {
         JobView best = null;
         for (List<JobView> queue : queues.values()) {
@@ -164,7 +161,7 @@
         if (aWithin != within(b)) {
             return aWithin;
         }
-        return urgency(a) < urgency(b);
+        return a.latestStartMicros() < b.latestStartMicros();
     }
 
     private boolean within(JobView job) {
@@ -223,7 +220,8 @@
             onlyZone = zoneCounts.isEmpty() ? roomiestZone(allowed, spec) : zoneCounts.keySet().iterator().next();
         }
         // The cheapest machines first and of those the fullest, so that the dear ones run empty and can go.
-        allowed.sort(Comparator.comparingDouble((Room room) -> room.pricePerCpu())
+        allowed.sort(Comparator.comparingInt((Room room) -> room.priceStep())
+                .thenComparing(room -> room.machine.sought())
                 .thenComparing(room -> !room.machine.images().contains(spec.image()))
                 .thenComparingDouble(room -> room.cpus)
                 .thenComparing(room -> room.machine.name()));
--- a/src/main/java/org/weldcourse/admission/Snapshot.java
+++ b/src/main/java/org/weldcourse/admission/Snapshot.java
@@ -11,8 +11,11 @@
 /** What one admission cycle decides on. The planner books in copies of it and changes nothing here. */
 public record Snapshot(List<MachineView> machines, List<JobView> jobs, List<TeamView> teams) {
 
-    /** {@code free*} may be negative while a preemptor waits for its victims to leave. */
-    public record MachineView(String name, MachineType type, String zone, boolean spot, double freeCpus,
+    /**
+     * {@code sought}: jobs whose class has an aim for its start need such a machine, so that what they would
+     * displace had better go elsewhere. {@code free*} may be negative while a preemptor waits for its victims to leave.
+     */
+    public record MachineView(String name, MachineType type, String zone, boolean spot, boolean sought, double freeCpus,
             double freeGpus, double freeMemoryGb, Set<String> images, List<TaskView> tasks) {
     }
 
@@ -21,7 +24,7 @@
     }
 
     /** A job with tasks to place; {@code zoneCounts} says where its other tasks are booked. */
-    public record JobView(JobSpec spec, BitSet pending, long acceptedMicros, Map<String, Integer> zoneCounts,
+    public record JobView(JobSpec spec, BitSet pending, long latestStartMicros, Map<String, Integer> zoneCounts,
             Set<String> badMachines) {
     }
 
--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -49,7 +49,7 @@
     private static final long WATCH_MICROS = 8_000_000;
     private static final long DIRECT_TIMEOUT_MICROS = 2_000_000;
     /** Estimates err and machines boot late: plan to be done after this part of the time allowed. */
-    private static final double DUE_SHARE = 0.85;
+    private static final double DUE_SHARE = 0.65;
     private static final long LEAST_RUN_MICROS = 1_000_000;
     private static final long CANCEL_MARGIN_MICROS = 3_000_000;
 
@@ -346,8 +346,7 @@
             if (booking.stop) {
                 continue;
             }
-            long ranMicros = booking.running() ? nowMicros - booking.runningSinceMicros : 0;
-            if (nowMicros + booking.job.spec.estimateMicros() - ranMicros < machine.takenBackAtMicros) {
+            if (nowMicros + board.runTimes.leftMicros(booking, nowMicros) < machine.takenBackAtMicros) {
                 continue;
             }
             stop(booking);
@@ -425,7 +424,7 @@
             }
             if (machine.usable() && nowMicros - machine.heardMicros < quietMicros()) {
                 machines.add(new MachineView(machine.name, machine.type, machine.zone, machine.spot,
-                        machine.type.cpus() - cpus, machine.type.gpus() - gpus,
+                        fleet.isSought(machine), machine.type.cpus() - cpus, machine.type.gpus() - gpus,
                         machine.type.memoryGb() - memoryGb, images, tasks));
             }
         }
@@ -438,7 +437,7 @@
                         zones.merge(String.valueOf(booking.machine.zone), 1, Integer::sum);
                     }
                 }
-                jobs.add(new JobView(job.spec, (BitSet) job.pending.clone(), job.acceptedMicros, zones,
+                jobs.add(new JobView(job.spec, (BitSet) job.pending.clone(), latestStartMicros(job), zones,
                         job.badMachines));
             }
         }
@@ -463,13 +462,18 @@
                 JobSpec spec = item.spec();
                 Job job = board.jobs.get(spec.id());
                 needs.add(new FleetPlanner.Need(spec, item.tasks(),
-                        Math.max(LEAST_RUN_MICROS, spec.estimateMicros()),
+                        Math.max(LEAST_RUN_MICROS, board.runTimes.expectedMicros(job)),
                         dueMicros(job)));
             }
         }
         return needs;
     }
 
+    /** Jobs that must start sooner come first; those without any time to keep to come by age. */
+    private long latestStartMicros(Job job) {
+        return dueMicros(job) - board.runTimes.expectedMicros(job);
+    }
+
     /** When the job should be done: well before its deadline, or the time that its class's aim names. */
     private long dueMicros(Job job) {
         long withinMicros = job.spec.deadlineMicros();
--- a/src/main/java/org/weldcourse/fleet/FleetKeeper.java
+++ b/src/main/java/org/weldcourse/fleet/FleetKeeper.java
@@ -100,6 +100,16 @@
         return releasedNames.contains(machine);
     }
 
+    /** Whether a job of a class with an aim for its start could go to such a machine. */
+    public boolean isSought(Machine machine) {
+        for (JobSpec shape : startAims.values()) {
+            if (machine.type.fits(shape) && (shape.spot() || !machine.spot)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     @Override
     protected long step() {
         long nowMicros = clock.nowMicros();
@@ -184,12 +194,12 @@
         }
     }
 
-    private static FleetPlanner.Host host(Machine machine, boolean booting, long nowMicros) {
+    private FleetPlanner.Host host(Machine machine, boolean booting, long nowMicros) {
         long availableAtMicros = booting
                 ? Math.max(nowMicros + 5_000_000, machine.sinceMicros + machine.type.bootMicros()) : nowMicros;
         double busyCpuMicros = 0;
         for (Booking booking : machine.bookings.values()) {
-            busyCpuMicros += booking.leftMicros(nowMicros) * booking.job.spec.cpus();
+            busyCpuMicros += board.runTimes.leftMicros(booking, nowMicros) * booking.job.spec.cpus();
         }
         return new FleetPlanner.Host(machine.type, machine.zone, machine.spot, booting, availableAtMicros,
                 busyCpuMicros);
--- a/src/main/java/org/weldcourse/fleet/FleetPlanner.java
+++ b/src/main/java/org/weldcourse/fleet/FleetPlanner.java
@@ -14,7 +14,7 @@
  */
 public final class FleetPlanner {
     /** The part of a machine's time that work really gets, after fetches, gaps and uneven run times. */
-    private static final double EFFICIENCY = 0.85;
+    private static final double EFFICIENCY = 0.75;
     /** A shortfall below this part of a new machine's work is not worth a machine. */
     private static final double WORTH_A_MACHINE = 0.25;
     /** How much a machine is expected to earn back of its boot: the stay that boot time is weighed against. */
--- a/src/main/java/org/weldcourse/workers/Reconciler.java
+++ b/src/main/java/org/weldcourse/workers/Reconciler.java
@@ -180,6 +180,7 @@
             gpus += spec.gpus();
             memoryGb += spec.memoryGb();
             booking.runSent = true;
+            booking.sawStart = spec.checkpointMicros() == 0 || booking.attempt == 1;
             orders.add(Order.run(booking.name, booking.attempt));
         }
     }
