--- a/src/main/java/org/weldcourse/admission/Planner.java
+++ b/src/main/java/org/weldcourse/admission/Planner.java
@@ -112,8 +112,19 @@
                     && gpus + job.gpus() * tasks <= team.team().gpus() + EPSILON;
         }
 
-        boolean borrowsWith(double cpusLess, double gpusLess) {
-            return cpus - cpusLess > team.team().cpus() - EPSILON || gpus - gpusLess > team.team().gpus() + EPSILON;
+        /** Whether the team still has its whole guarantee in use after giving up so much. */
+        boolean borrowsWithout(double cpusLess, double gpusLess) {
+            return cpus - cpusLess >= team.team().cpus() - EPSILON
+                    && gpus - gpusLess >= Math.min(gpus, team.team().gpus()) - EPSILON;
+        }
+
+        /** How many tasks of the job the team may claim as part of its guarantee. */
+        int underGuarantee(JobSpec job) {
+            double most = Math.floor((team.team().cpus() - cpus + EPSILON) / job.cpus());
+            if (job.gpus() > 0) {
+                most = Math.min(most, Math.floor((team.team().gpus() - gpus + EPSILON) / job.gpus()));
+            }
+            return (int) Math.max(0, most);
         }
 
         void take(JobSpec job, int tasks) {
@@ -260,9 +271,12 @@
             if (most <= 0 || onlyZone != null && !onlyZone.equals(zone)) {
                 continue;
             }
-            Offer offer = offerWithVictims(job, usage, room, most, 0);
+            // First what the team may claim as its own; beyond that only rank counts.
+            int claim = usage.underGuarantee(job.spec());
+            Offer offer = offerWithVictims(job, usage, room, claim > 0 ? Math.min(claim, most) : most, 0);
             if (offer != null) {
-                int take = Math.min(most, offer.tasks);
+                int take = Math.min(claim > 0 ? Math.min(claim, most) : most, offer.tasks);
+                usage.take(job.spec(), take);
                 offer.victims.forEach(victim -> stop(room, victim));
                 counts.put(room, take);
                 zoneCounts.merge(zone, take, Integer::sum);
@@ -270,6 +284,7 @@
             }
         }
         if (!counts.isEmpty()) {
+            usage.take(job.spec(), left - wanted);
             book(job, usage, counts);
         }
         return wanted - left;
@@ -398,25 +413,37 @@
         return bestFits == 0 ? null : new Offer(room, bestFits, bestChosen, bestCost);
     }
 
-    /** Tasks on the machine that may be stopped for this job: what leaves anyway first, then the least work lost. */
+    /**
+     * Tasks on the machine that may be stopped for this job: what leaves anyway first, then the least work lost.
+     * What a team runs within its guarantee yields to other teams only by rank, and only to a team that claims
+     * its own guarantee; or a borrower of high rank and an owner of low rank would displace each other for ever.
+     */
     private List<TaskView> displaceable(JobView job, Usage usage, Room room) {
         boolean reclaims = usage.withinGuarantee(job.spec(), job.spec().gang() ? job.pending().cardinality() : 1);
-        List<TaskView> candidates = new ArrayList<>();
+        List<TaskView> sorted = new ArrayList<>();
         for (TaskView task : room.machine.tasks()) {
-            if (room.victims.contains(task) || task.job().id().equals(job.spec().id())) {
-                continue;
+            if (!room.victims.contains(task) && !task.job().id().equals(job.spec().id())) {
+                sorted.add(task);
             }
+        }
+        sorted.sort(Comparator.comparing((TaskView task) -> !task.stopping())
+                .thenComparing(task -> task.job().rank(), Comparator.reverseOrder())
+                .thenComparingLong(TaskView::ranMicros));
+        List<TaskView> candidates = new ArrayList<>();
+        Map<Usage, double[]> taken = new HashMap<>();
+        for (TaskView task : sorted) {
+            boolean ownTeam = task.job().team().equals(job.spec().team());
             boolean lowerRank = task.job().rank().compareTo(job.spec().rank()) > 0;
             Usage other = usages.get(task.job().team());
-            boolean borrowed = reclaims && other != null && !task.job().team().equals(job.spec().team())
-                    && other.borrowsWith(task.job().cpus(), task.job().gpus());
-            if (task.stopping() || lowerRank || borrowed) {
+            double[] less = taken.computeIfAbsent(other, team -> new double[2]);
+            boolean borrowed = !ownTeam && other != null
+                    && other.borrowsWithout(less[0] + task.job().cpus(), less[1] + task.job().gpus());
+            if (task.stopping() || lowerRank && (ownTeam || borrowed || reclaims) || reclaims && borrowed) {
                 candidates.add(task);
+                less[0] += task.job().cpus();
+                less[1] += task.job().gpus();
             }
         }
-        candidates.sort(Comparator.comparing((TaskView task) -> !task.stopping())
-                .thenComparing(task -> task.job().rank(), Comparator.reverseOrder())
-                .thenComparingLong(TaskView::ranMicros));
         return candidates;
     }
 
--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -50,6 +50,7 @@
     private static final long DIRECT_TIMEOUT_MICROS = 2_000_000;
     /** Estimates err and machines boot late: plan to be done after this part of the time allowed. */
     private static final double DUE_SHARE = 0.65;
+    private static final long STATUS_MICROS = 30_000_000;
     private static final long LEAST_RUN_MICROS = 1_000_000;
     private static final long CANCEL_MARGIN_MICROS = 3_000_000;
 
@@ -62,6 +63,8 @@
     private final int mostTasksPerAdmission;
     private final long startedMicros;
     private boolean loaded;
+    private long nextStatusMicros;
+    private int waitingByQuota;
 
     /** What a term works with; all of it outlives the term. */
     public record Parts(Store store, Cloud cloud, Caller caller, Clock clock, Timers timers, Settings settings,
@@ -298,9 +301,32 @@
             admit(nowMicros);
         }
         direct();
+        if (nowMicros >= nextStatusMicros) {
+            nextStatusMicros = nowMicros + STATUS_MICROS;
+            LOG.info("token {}: {}", token, status());
+        }
         return IDLE_CYCLE_MICROS;
     }
 
+    /** One line for operators: how much is open, what waits and why, and where the money goes. */
+    private String status() {
+        int up = 0;
+        int quiet = 0;
+        for (Machine machine : board.machines.values()) {
+            up += machine.isUp() ? 1 : 0;
+            quiet += machine.isUp() && clock.nowMicros() - machine.heardMicros > quietMicros() ? 1 : 0;
+        }
+        int pending = 0;
+        int booked = 0;
+        for (Job job : board.jobs.values()) {
+            pending += job.pending.cardinality();
+            booked += job.bookings.size();
+        }
+        return board.jobs.size() + " jobs open, " + booked + " tasks booked, " + pending + " waiting ("
+                + waitingByQuota + " for their team's limit); " + up + " machines up, " + quiet + " silent, "
+                + (board.machines.size() - up) + " coming; " + fleet.spending();
+    }
+
     private void tend(Job job, long nowMicros) {
         if (job.closed) {
             board.jobs.remove(job.spec.id());
@@ -457,8 +483,13 @@
 
     private List<FleetPlanner.Need> needs(List<Decisions.Waiting> waiting) {
         List<FleetPlanner.Need> needs = new ArrayList<>();
+        waitingByQuota = 0;
         for (Decisions.Waiting item : waiting) {
-            if (!item.byQuota()) {
+            LOG.debug("{}: {} tasks wait for {}", item.spec().id(), item.tasks(),
+                    item.byQuota() ? "their team's limit" : "room");
+            if (item.byQuota()) {
+                waitingByQuota += item.tasks();
+            } else {
                 JobSpec spec = item.spec();
                 Job job = board.jobs.get(spec.id());
                 needs.add(new FleetPlanner.Need(spec, item.tasks(),
--- /dev/null
+++ b/src/main/java/org/weldcourse/app/Controller.java
@@ -0,0 +1,120 @@
+package org.weldcourse.app;
+
+import java.util.Map;
+import org.weldcourse.admission.Term;
+import org.weldcourse.fleet.Cloud;
+import org.weldcourse.fleet.TypesDuty;
+import org.weldcourse.http.Caller;
+import org.weldcourse.http.Json;
+import org.weldcourse.http.Server;
+import org.weldcourse.http.Server.Reply;
+import org.weldcourse.http.Server.Request;
+import org.weldcourse.jobs.JobApi;
+import org.weldcourse.leadership.Leadership;
+import org.weldcourse.runtime.Clock;
+import org.weldcourse.runtime.Timers;
+import org.weldcourse.settings.Settings;
+import org.weldcourse.settings.Tuning;
+import org.weldcourse.store.Store;
+import org.weldcourse.workers.CheckinCodec;
+import org.weldcourse.workers.Report;
+
+/** One controller: wires the slices together and routes requests to them. All of it runs on one event loop. */
+public final class Controller implements Server.Handler, Leadership.Listener {
+    private static final String JOBS = "/v1/jobs";
+
+    private final Settings settings;
+    private final Leadership leadership;
+    private final TypesDuty types;
+    private final JobApi jobs;
+    private final Term.Parts parts;
+    private Term term;
+
+    public Controller(Settings settings, Tuning tuning, Caller caller, Clock clock, Timers timers) {
+        this.settings = settings;
+        Store store = new Store(caller, clock, settings.stateAddress());
+        Cloud cloud = new Cloud(caller, settings.cloudAddress());
+        this.leadership =
+                new Leadership(settings.nodeName(), store, clock, timers, tuning.stateLeaseMicros(), this);
+        this.types = new TypesDuty(store, cloud, clock, timers, leadership::leads);
+        this.jobs = new JobApi(store, settings, clock, types::known);
+        this.parts = new Term.Parts(store, cloud, caller, clock, timers, settings, tuning, leadership, types);
+    }
+
+    public void start() {
+        leadership.start();
+        types.start();
+    }
+
+    /** Ends every routine in turn: what leads first, then what leadership and users rest on. */
+    public void stop() {
+        deposed();
+        leadership.cancel();
+        types.cancel();
+    }
+
+    public boolean leads() {
+        return leadership.leads();
+    }
+
+    @Override
+    public void elected(long token, long epochVersion) {
+        term = new Term(parts, token, epochVersion);
+        term.begin();
+    }
+
+    @Override
+    public void deposed() {
+        if (term != null) {
+            term.cancel();
+            term = null;
+        }
+    }
+
+    @Override
+    public void handle(Request request, Reply reply) {
+        String path = request.path();
+        boolean post = request.method().equals("POST");
+        if (path.equals("/checkin") && post) {
+            checkin(request, reply);
+        } else if (path.equals("/ready")) {
+            ready(reply);
+        } else if (path.equals(JOBS) && post) {
+            jobs.submit(request.body(), reply);
+        } else if (path.startsWith(JOBS + "/")) {
+            String rest = path.substring(JOBS.length() + 1);
+            if (post && rest.endsWith("/withdraw")) {
+                jobs.withdraw(rest.substring(0, rest.length() - "/withdraw".length()), reply);
+            } else if (request.method().equals("GET")) {
+                jobs.poll(rest, reply);
+            } else {
+                reply.send(405, Json.of("error", "no such method here"));
+            }
+        } else {
+            reply.send(404, Json.of("error", "no such path"));
+        }
+    }
+
+    private void checkin(Request request, Reply reply) {
+        if (term == null || !leadership.leads()) {
+            String leader = leadership.leaderName();
+            reply.send(421, leader == null || leader.equals(settings.nodeName())
+                    ? Map.of() : Json.of("foreman", leader));
+            return;
+        }
+        Report report = CheckinCodec.report(Json.objectOrEmpty(request.body()));
+        if (report == null) {
+            reply.send(400, Json.of("error", "not a report"));
+            return;
+        }
+        term.checkin(report, reply);
+    }
+
+    private void ready(Reply reply) {
+        if (types.known().isEmpty()) {
+            reply.refuse(503, "machine types are not known yet", 1);
+        } else {
+            reply.send(200, Json.of("ready", true));
+        }
+    }
+}
--- a/src/main/java/org/weldcourse/app/Main.java
+++ b/src/main/java/org/weldcourse/app/Main.java
@@ -1,27 +1,24 @@
 package org.weldcourse.app;
 
 import java.nio.file.Path;
-import java.util.concurrent.Callable;
 import org.weldcourse.settings.Settings;
 import org.weldcourse.settings.SettingsFile;
 import org.weldcourse.settings.Tuning;
 import picocli.CommandLine;
-import picocli.CommandLine.Command;
-import picocli.CommandLine.Option;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Model.OptionSpec;
+import picocli.CommandLine.ParseResult;
 
-/** The command line. */
-@Command(name = "weldcourse", mixinStandardHelpOptions = true, version = "weldcourse 0.1.0",
-        description = "Runs one controller of a weldcourse cluster.", sortOptions = false)
-public final class Main implements Callable<Integer> {
-    static final int BAD_SETTINGS = 2;
+/**
+ * The command line. It is described to picocli in calls rather than annotations: a controller's start is charged
+ * to its small share of a core, and reading annotations by reflection was a good part of it.
+ */
+public final class Main {
+    static final int FAILED = 1;
+    static final int BAD_USAGE = 2;
 
-    @Option(names = "--operators", paramLabel = "FILE", scope = CommandLine.ScopeType.INHERIT,
-            description = "Operators' own settings (XML); without it the defaults hold.")
-    private Path operators;
-
-    @Option(names = "--config", paramLabel = "FILE", scope = CommandLine.ScopeType.INHERIT,
-            description = "The platform's settings file (TOML).")
-    private Path config;
+    private Main() {
+    }
 
     public static void main(String[] args) {
         String level = System.getenv("LOG_LEVEL");
@@ -29,53 +26,91 @@
         System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
         System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
         System.setProperty("org.slf4j.simpleLogger.log.io.netty", "error");
-        System.setProperty("io.netty.noUnsafe", "false");
-        int code = new CommandLine(new Main()).execute(args);
+        int code = run(args);
         if (code != 0) {
             System.exit(code);
         }
     }
 
-    @Override
-    public Integer call() throws Exception {
-        Loaded loaded = load();
-        if (loaded == null) {
-            return BAD_SETTINGS;
+    private static int run(String[] args) {
+        CommandLine commandLine = new CommandLine(main())
+                .addSubcommand("check", command("check", "Checks the settings and ends without starting anything."))
+                .addSubcommand("warm-up", hidden("warm-up", "Loads what a controller needs, for the build."));
+        ParseResult parsed;
+        try {
+            parsed = commandLine.parseArgs(args);
+        } catch (CommandLine.ParameterException wrong) {
+            System.err.println("weldcourse: " + wrong.getMessage() + " (see --help)");
+            return BAD_USAGE;
+        }
+        ParseResult last = parsed.hasSubcommand() ? parsed.subcommand() : parsed;
+        CommandLine chosen = last.commandSpec().commandLine();
+        if (chosen.isUsageHelpRequested()) {
+            chosen.usage(System.out);
+            return 0;
+        }
+        if (chosen.isVersionHelpRequested()) {
+            chosen.printVersionHelp(System.out);
+            return 0;
+        }
+        try {
+            return run(last, parsed);
+        } catch (SettingsFile.Invalid invalid) {
+            System.err.println("weldcourse: " + invalid.getMessage());
+            return BAD_USAGE;
+        } catch (Exception unexpected) {
+            System.err.println("weldcourse: " + unexpected);
+            return FAILED;
         }
-        new Node(loaded.settings, loaded.tuning).start();
-        return 0;
     }
 
-    @Command(name = "check", description = "Checks the settings and ends without starting anything.",
-            mixinStandardHelpOptions = true)
-    int check() {
-        if (load() == null) {
-            return BAD_SETTINGS;
+    private static int run(ParseResult last, ParseResult first) throws Exception {
+        String name = last.commandSpec().name();
+        if (name.equals("warm-up")) {
+            WarmUp.run();
+            return 0;
+        }
+        Path config = option(last, first, "--config");
+        if (config == null) {
+            throw new SettingsFile.Invalid("--config FILE is needed (see --help)");
+        }
+        Path operators = option(last, first, "--operators");
+        Settings settings = SettingsFile.read(config);
+        Tuning tuning = operators == null ? Tuning.DEFAULT : Tuning.read(operators);
+        if (name.equals("check")) {
+            System.out.println("settings are valid");
+        } else {
+            new Node(settings, tuning).start();
         }
-        System.out.println("settings are valid");
         return 0;
     }
 
-    @Command(name = "warm-up", hidden = true,
-            description = "Loads what a controller needs, so that the build can make its class archive.")
-    int warmUp() throws Exception {
-        WarmUp.run();
-        return 0;
+    /** The options may stand before a subcommand or behind it. */
+    private static Path option(ParseResult last, ParseResult first, String name) {
+        return last.matchedOptionValue(name, first.matchedOptionValue(name, (Path) null));
     }
 
-    private record Loaded(Settings settings, Tuning tuning) {
+    private static CommandSpec main() {
+        return command("weldcourse", "Runs one controller of a weldcourse cluster.").version("weldcourse 0.1.0")
+                .addOption(OptionSpec.builder("-V", "--version").versionHelp(true)
+                        .description("Print the version and end.").build());
     }
 
-    private Loaded load() {
-        try {
-            if (config == null) {
-                throw new SettingsFile.Invalid("--config FILE is needed");
-            }
-            return new Loaded(SettingsFile.read(config),
-                    operators == null ? Tuning.DEFAULT : Tuning.read(operators));
-        } catch (SettingsFile.Invalid invalid) {
-            System.err.println("weldcourse: " + invalid.getMessage());
-            return null;
-        }
+    private static CommandSpec command(String name, String description) {
+        CommandSpec spec = CommandSpec.create().name(name)
+                .addOption(OptionSpec.builder("--config").paramLabel("FILE").type(Path.class)
+                        .description("The platform's settings file (TOML).").build())
+                .addOption(OptionSpec.builder("--operators").paramLabel("FILE").type(Path.class)
+                        .description("Operators' own settings (XML); what is left out keeps its default.").build())
+                .addOption(OptionSpec.builder("-h", "--help").usageHelp(true)
+                        .description("Print this help and end.").build());
+        spec.usageMessage().description(description);
+        return spec;
+    }
+
+    private static CommandSpec hidden(String name, String description) {
+        CommandSpec spec = command(name, description);
+        spec.usageMessage().hidden(true);
+        return spec;
     }
 }
--- a/src/main/java/org/weldcourse/fleet/FleetKeeper.java
+++ b/src/main/java/org/weldcourse/fleet/FleetKeeper.java
@@ -50,6 +50,7 @@
     private final Set<String> releasedNames = new HashSet<>();
     private final ArrayDeque<Runnable> again = new ArrayDeque<>();
     private List<FleetPlanner.Need> needs = List.of();
+    private final Spending spending = new Spending();
     private long nextListMicros;
     private long requests;
     private int rentalsInFlight;
@@ -100,6 +101,10 @@
         return releasedNames.contains(machine);
     }
 
+    public Spending spending() {
+        return spending;
+    }
+
     /** Whether a job of a class with an aim for its start could go to such a machine. */
     public boolean isSought(Machine machine) {
         for (JobSpec shape : startAims.values()) {
@@ -130,6 +135,7 @@
         while (!again.isEmpty() && calls.tryTake(1)) {
             again.poll().run();
         }
+        spending.count(board.machines.values(), nowMicros);
         release(nowMicros);
         rent(nowMicros);
         return STEP_MICROS;
@@ -236,8 +242,16 @@
         });
     }
 
-    private boolean overdue(Machine machine, long nowMicros) {
-        return machine.type != null && nowMicros - machine.sinceMicros > 3 * machine.type.bootMicros() + 20_000_000;
+    /** Later than nearly all machines come up: another is rented in its place if the work still waits. */
+    private static boolean overdue(Machine machine, long nowMicros) {
+        return machine.type != null
+                && nowMicros - machine.sinceMicros > machine.type.bootMicros() * 8 / 5 + 5_000_000;
+    }
+
+    /** Later than is worth paying for. */
+    private static boolean hopeless(Machine machine, long nowMicros) {
+        return machine.type != null && nowMicros - machine.sinceMicros
+                > Math.max(LEAST_CHARGED_MICROS, machine.type.bootMicros() * 5 / 2 + 10_000_000);
     }
 
     /** Machines, up or on their way, that could take a job of this shape without waiting for its equals. */
@@ -337,7 +351,7 @@
                 // Known only from an earlier leader's records, and not heard of since.
                 return waitedMicros > settings.workers().leaseMicros() + 5_000_000 ? "silent" : null;
             }
-            return overdue(machine, nowMicros) && waitedMicros > settings.workers().leaseMicros() ? "never came up"
+            return hopeless(machine, nowMicros) && waitedMicros > settings.workers().leaseMicros() ? "never came up"
                     : null;
         }
         if (nowMicros - machine.heardMicros > (hearsMost ? 1 : 2) * silenceMicros()) {
--- /dev/null
+++ b/src/main/java/org/weldcourse/fleet/Spending.java
@@ -0,0 +1,54 @@
+package org.weldcourse.fleet;
+
+import java.util.Collection;
+import java.util.Locale;
+import org.weldcourse.admission.Booking;
+import org.weldcourse.admission.Machine;
+
+/** What the rented machines' time went on during a term, in the cloud's money: an operator's first look. */
+public final class Spending {
+    private static final double MICROS_PER_HOUR = 3600e6;
+
+    private double booting;
+    private double idle;
+    private double preparing;
+    private double running;
+    private long countedMicros = -1;
+
+    /** Counts the time since the last call as spent on what the machines do now. */
+    public void count(Collection<Machine> machines, long nowMicros) {
+        double hours = countedMicros < 0 ? 0 : (nowMicros - countedMicros) / MICROS_PER_HOUR;
+        countedMicros = nowMicros;
+        for (Machine machine : machines) {
+            if (machine.type == null || machine.failed) {
+                continue;
+            }
+            double cost = machine.type.price(machine.spot) * hours;
+            if (!machine.isUp()) {
+                booting += cost;
+                continue;
+            }
+            double runs = 0;
+            double prepares = 0;
+            for (Booking booking : machine.bookings.values()) {
+                double share = booking.job.spec.cpus() / machine.type.cpus();
+                if (booking.running()) {
+                    runs += share;
+                } else {
+                    prepares += share;
+                }
+            }
+            runs = Math.min(1, runs);
+            prepares = Math.min(1 - runs, prepares);
+            running += cost * runs;
+            preparing += cost * prepares;
+            idle += cost * (1 - runs - prepares);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return String.format(Locale.ROOT, "spent %.3f running, %.3f fetching or waiting to run, %.3f idle, %.3f booting",
+                running, preparing, idle, booting);
+    }
+}
--- a/src/main/java/org/weldcourse/fleet/TypesDuty.java
+++ b/src/main/java/org/weldcourse/fleet/TypesDuty.java
@@ -100,11 +100,10 @@
         });
     }
 
+    /** Only nodes without a record and the leader ask the cloud, so this is seldom written. */
     private void remember(Map<String, Object> body) {
-        if (leads.get()) {
-            store.commit(new Txn().put(KEY, body), commit -> {
-            });
-        }
+        store.commit(new Txn().put(KEY, body), commit -> {
+        });
     }
 
     private void next(long delayMicros) {
--- a/src/main/java/org/weldcourse/http/Server.java
+++ b/src/main/java/org/weldcourse/http/Server.java
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpServerCodec;
@@ -80,7 +81,7 @@
                         channel.closeFuture().addListener(closed -> connections--);
                         channel.pipeline()
                                 .addLast(new HttpServerCodec())
-                                .addLast(new HttpObjectAggregator(MOST_BODY_BYTES))
+                                .addLast(new BoundedBodies())
                                 .addLast(new Connection());
                     }
                 })
@@ -88,6 +89,23 @@
                 .sync();
     }
 
+    /** Gathers bodies, and answers one that is too large with 400: the protocol calls it malformed. */
+    private static final class BoundedBodies extends HttpObjectAggregator {
+        BoundedBodies() {
+            super(MOST_BODY_BYTES);
+        }
+
+        @Override
+        protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
+            byte[] bytes = Json.bytes(Json.of("error", "body over 64 KiB"));
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1,
+                    HttpResponseStatus.BAD_REQUEST, Unpooled.wrappedBuffer(bytes));
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
     /** The routine of one connection. */
     private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
         @Override
--- /dev/null
+++ b/src/test/java/org/weldcourse/app/ServiceTest.java
@@ -0,0 +1,475 @@
+package org.weldcourse.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.weldcourse.rehearsal.World.jobBody;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.weldcourse.http.Json;
+import org.weldcourse.rehearsal.FakeWorker;
+import org.weldcourse.rehearsal.World;
+import org.weldcourse.settings.Settings;
+
+/** Whole controllers against scripted services. The world fails a test in which a rule of the protocol breaks. */
+class ServiceTest {
+    private static World settled(int nodes) {
+        World world = new World(nodes);
+        world.time.passSeconds(2);
+        return world;
+    }
+
+    @Test
+    void arrayRunsEveryTaskOnceAndStaysDone() {
+        World world = settled(3);
+        assertEquals(201, world.submit("n0", jobBody("req-000001")).status());
+        assertTrue(world.reaches("n1", "req-000001", "done", 60));
+        assertEquals(4, world.starts.size());
+        assertTrue(world.starts.values().stream().allMatch(count -> count == 1));
+        World.Answer again = world.submit("n2", jobBody("req-000001"));
+        assertEquals(200, again.status());
+        assertEquals("done", again.state());
+        assertEquals(List.of(), world.state.keys("open/"));
+        assertEquals(List.of(), world.state.keys("slices/"));
+    }
+
+    @Test
+    void gangStartsTogetherInOneZone() {
+        World world = settled(1);
+        world.submit("n0", jobBody("req-000002", "shape", "ensemble", "beads", 6, "cpus", 4.0, "together", true));
+        assertTrue(world.reaches("n0", "req-000002", "done", 90));
+        assertEquals(6, world.starts.size());
+    }
+
+    @Test
+    void spreadJobKeepsToHalfItsTasksInAZone() {
+        World world = settled(1);
+        world.submit("n0", jobBody("req-000003", "shape", "ensemble", "beads", 5, "cpus", 4.0, "apart", true));
+        world.cloud.unexpected("large", "a", false);
+        world.cloud.unexpected("large", "b", false);
+        assertTrue(world.reaches("n0", "req-000003", "done", 120));
+    }
+
+    @Test
+    void teamLimitHoldsWhileRoomIsPlenty() {
+        World world = settled(1);
+        world.cloud.unexpected("large", "a", false);
+        world.cloud.unexpected("large", "b", false);
+        world.submit("n0", jobBody("req-000004", "crew", "capped", "beads", 12));
+        assertTrue(world.reaches("n0", "req-000004", "done", 120));
+        assertEquals(12, world.starts.size());
+    }
+
+    @Test
+    void ordinaryMachinesOnlyForJobsThatRefuseSpot() {
+        World world = settled(1);
+        world.cloud.unexpected("large", "a", true);
+        world.submit("n0", jobBody("req-000005", "loaners", false, "yard", "b", "rigs", List.of("small")));
+        assertTrue(world.reaches("n0", "req-000005", "done", 120));
+    }
+
+    @Test
+    void refusesWhatCanNeverRunAndWhatIsMalformed() {
+        World world = settled(1);
+        assertEquals(422, world.submit("n0", jobBody("req-000006", "crew", "nobody")).status());
+        assertEquals(422, world.submit("n0", jobBody("req-000007", "cpus", 17.0)).status());
+        assertEquals(422, world.submit("n0", jobBody("req-000008", "crew", "capped", "shape", "ensemble",
+                "beads", 5)).status());
+        assertEquals(400, world.submit("n0", jobBody("req-000009", "beads", 0)).status());
+        assertEquals(400, world.ask("n0", "POST", "/v1/jobs", "[1]".getBytes()).status());
+        assertEquals(400, world.ask("n0", "POST", "/v1/jobs", "{".getBytes()).status());
+        assertEquals(404, world.poll("n0", "req-000006").status());
+        assertEquals(404, world.poll("n0", "no-such-form").status());
+        assertEquals(404, world.withdraw("n0", "req-000006").status());
+    }
+
+    @Test
+    void refusesAtOnceWhileTheStateServiceIsDown() {
+        World world = settled(1);
+        world.state.down(true);
+        long beforeMicros = world.time.nowMicros();
+        World.Answer answer = world.submit("n0", jobBody("req-000010"));
+        assertEquals(503, answer.status());
+        assertTrue(answer.retryAfterSeconds() > 0);
+        assertTrue(world.time.nowMicros() - beforeMicros < 100_000);
+    }
+
+    @Test
+    void lostCommitAnswerIsReadAgainNotGuessed() {
+        World world = settled(1);
+        world.loseAnswers("n0", true);
+        Map<String, Object> job = jobBody("req-000011");
+        World.Answer lost = world.submit("n0", job);
+        assertNotEquals(404, lost.status());
+        world.loseAnswers("n0", false);
+        world.time.passSeconds(10);
+        // Carried out although nobody heard so: a repeat finds it and it runs once.
+        assertEquals(200, world.submit("n0", job).status());
+        assertTrue(world.reaches("n0", "req-000011", "done", 90));
+        assertTrue(world.starts.values().stream().allMatch(count -> count == 1));
+    }
+
+    @Test
+    void cancelledJobLeavesEveryMachineAndStaysCancelled() {
+        World world = settled(3);
+        world.runMicros.put("req-000012", Long.MAX_VALUE);
+        world.submit("n0", jobBody("req-000012"));
+        assertTrue(world.reaches("n0", "req-000012", "running", 60));
+        world.time.passSeconds(5);
+        assertEquals("cancelled", world.withdraw("n1", "req-000012").state());
+        world.time.passSeconds(5);
+        assertEquals(0, world.runningTasks());
+        assertEquals("cancelled", world.poll("n2", "req-000012").state());
+        assertEquals("cancelled", world.withdraw("n0", "req-000012").state());
+        assertNotNull(world.state.value("final/req-000012"));
+    }
+
+    @Test
+    void cancelAfterTheEndSaysDone() {
+        World world = settled(1);
+        world.submit("n0", jobBody("req-000013"));
+        assertTrue(world.reaches("n0", "req-000013", "done", 60));
+        assertEquals("done", world.withdraw("n0", "req-000013").state());
+        assertEquals("done", world.poll("n0", "req-000013").state());
+    }
+
+    @Test
+    void successorTakesOverRunningWorkWithoutStartingItAgain() {
+        World world = settled(3);
+        world.runMicros.put("req-000014", 40_000_000L);
+        world.submit("n0", jobBody("req-000014"));
+        assertTrue(world.reaches("n0", "req-000014", "running", 60));
+        world.time.passSeconds(5);
+        assertEquals(4, world.runningTasks());
+        String old = world.leader();
+        world.killNode(old);
+        world.time.passSeconds(10);
+        assertNotNull(world.leader());
+        String other = world.leader();
+        assertTrue(world.reaches(other, "req-000014", "done", 90));
+        assertTrue(world.starts.values().stream().allMatch(count -> count == 1), world.starts.toString());
+    }
+
+    @Test
+    void allControllersRestartAndNothingIsForgotten() {
+        World world = settled(3);
+        world.runMicros.put("req-000015", 30_000_000L);
+        world.submit("n0", jobBody("req-000015"));
+        world.time.passSeconds(12);
+        for (String node : List.of("n0", "n1", "n2")) {
+            world.killNode(node);
+        }
+        world.time.passSeconds(3);
+        for (String node : List.of("n0", "n1", "n2")) {
+            world.startNode(node);
+        }
+        world.time.passSeconds(3);
+        assertEquals(200, world.poll("n1", "req-000015").status());
+        assertTrue(world.reaches("n1", "req-000015", "done", 120));
+    }
+
+    @Test
+    void restartedLeaderNeedNotWaitForItsOwnOldLease() {
+        World world = settled(1);
+        world.killNode("n0");
+        world.startNode("n0");
+        world.time.passSeconds(1);
+        assertEquals("n0", world.leader());
+    }
+
+    @Test
+    void leaderCutFromTheStateServiceYieldsAndItsWorkersFollow() {
+        World world = settled(3);
+        world.runMicros.put("req-000016", 60_000_000L);
+        world.submit("n0", jobBody("req-000016"));
+        assertTrue(world.reaches("n0", "req-000016", "running", 60));
+        world.time.passSeconds(3);
+        String old = world.leader();
+        world.cutFromState(old);
+        world.time.passSeconds(8);
+        String successor = null;
+        for (String node : List.of("n0", "n1", "n2")) {
+            if (!node.equals(old) && world.controller(node).leads()) {
+                successor = node;
+            }
+        }
+        assertNotNull(successor);
+        // Told by the successor; the old leader can't know, and must have let go of its workers in time.
+        world.withdraw(successor, "req-000016");
+        for (int i = 0; i < 45; i++) {
+            world.time.passSeconds(1);
+            world.checkCancelled();
+        }
+        world.healToState(old);
+        world.time.passSeconds(10);
+        assertEquals(0, world.runningTasks());
+    }
+
+    @Test
+    void workOutlivesAnOutageOfTheStateService() {
+        World world = settled(3);
+        world.runMicros.put("req-000017", 35_000_000L);
+        world.submit("n0", jobBody("req-000017"));
+        assertTrue(world.reaches("n0", "req-000017", "running", 60));
+        world.time.passSeconds(3);
+        world.state.down(true);
+        world.time.passSeconds(15);
+        assertEquals(4, world.runningTasks());
+        world.state.down(false);
+        assertTrue(world.reaches("n0", "req-000017", "done", 90));
+        assertTrue(world.starts.values().stream().allMatch(count -> count == 1), world.starts.toString());
+    }
+
+    @Test
+    void silentMachineIsReturnedBeforeItsTasksRunElsewhere() {
+        World world = settled(1);
+        world.runMicros.put("req-000018", 30_000_000L);
+        world.submit("n0", jobBody("req-000018", "beads", 2));
+        assertTrue(world.reaches("n0", "req-000018", "running", 60));
+        world.time.passSeconds(2);
+        FakeWorker worker = world.whereIs("req-000018/0");
+        worker.freeze(true);
+        world.time.passSeconds(14);
+        assertTrue(world.cloud.released.contains(worker.machine().name()));
+        assertTrue(world.reaches("n0", "req-000018", "done", 120));
+    }
+
+    @Test
+    void silentMachineKeepsItsTasksWhileTheCloudCannotConfirm() {
+        World world = settled(1);
+        world.runMicros.put("req-000019", 30_000_000L);
+        world.submit("n0", jobBody("req-000019", "beads", 1));
+        assertTrue(world.reaches("n0", "req-000019", "running", 60));
+        world.time.passSeconds(2);
+        world.whereIs("req-000019/0").freeze(true);
+        world.cloud.down(true);
+        world.time.passSeconds(40);
+        assertEquals(1, world.starts.get("req-000019/0"));
+        world.cloud.down(false);
+        assertTrue(world.reaches("n0", "req-000019", "done", 120));
+    }
+
+    @Test
+    void deposedLeaderThatHearsNobodyReturnsNoMachines() {
+        World world = settled(3);
+        world.runMicros.put("req-000020", 70_000_000L);
+        world.submit("n0", jobBody("req-000020"));
+        assertTrue(world.reaches("n0", "req-000020", "running", 60));
+        world.time.passSeconds(3);
+        String old = world.leader();
+        int machines = world.cloud.machines().size();
+        world.cutFromState(old);
+        world.cutFromWorkers(old);
+        world.time.passSeconds(40);
+        assertEquals(machines, world.cloud.machines().size());
+        assertEquals(4, world.runningTasks());
+        assertTrue(world.starts.values().stream().allMatch(count -> count == 1), world.starts.toString());
+    }
+
+    @Test
+    void newSessionMeansTheTasksAreGoneAndRunAgain() {
+        World world = settled(1);
+        world.runMicros.put("req-000021", 20_000_000L);
+        world.submit("n0", jobBody("req-000021", "beads", 1));
+        assertTrue(world.reaches("n0", "req-000021", "running", 60));
+        world.time.passSeconds(2);
+        FakeWorker worker = world.whereIs("req-000021/0");
+        world.net.cut(worker.machine().name(), "n0:80");
+        world.time.passSeconds(10.5);
+        world.net.heal(worker.machine().name(), "n0:80");
+        assertTrue(world.reaches("n0", "req-000021", "done", 120));
+        assertEquals(2, world.starts.get("req-000021/0"));
+    }
+
+    @Test
+    void unexpectedMachineIsUsedOrReturned() {
+        World world = settled(1);
+        String found = world.cloud.unexpected("small", "a", false);
+        world.time.passSeconds(90);
+        assertTrue(world.cloud.released.contains(found));
+    }
+
+    @Test
+    void machineThatNeverComesUpIsReturned() {
+        World world = new World(1);
+        world.time.passSeconds(2);
+        world.submit("n0", jobBody("req-000022"));
+        world.time.passSeconds(3);
+        String rented = world.cloud.machines().iterator().next();
+        for (String machine : world.cloud.machines()) {
+            world.net.host(FakeWorker.address(machine), (request, reply) -> { });
+            world.net.cut(machine, "n0:80");
+        }
+        world.time.passSeconds(80);
+        assertTrue(world.cloud.released.contains(rented));
+        assertTrue(world.reaches("n0", "req-000022", "done", 120));
+    }
+
+    @Test
+    void noticeEmptiesTheMachineBeforeItGoes() {
+        World world = settled(1);
+        world.runMicros.put("req-000023", 20_000_000L);
+        world.submit("n0", jobBody("req-000023", "beads", 1, "expected_s", 100.0));
+        assertTrue(world.reaches("n0", "req-000023", "running", 60));
+        world.time.passSeconds(2);
+        FakeWorker worker = world.whereIs("req-000023/0");
+        worker.notice(8_000_000);
+        world.time.passSeconds(3);
+        assertFalse(worker.present().contains("req-000023/0"));
+        assertTrue(world.reaches("n0", "req-000023", "done", 120));
+    }
+
+    @Test
+    void urgentGangDisplacesIdleWork() {
+        World world = settled(1);
+        world.runMicros.put("req-000024", 300_000_000L);
+        world.cloud.unexpected("large", "a", false);
+        world.cloud.capacity = 1;
+        world.submit("n0", jobBody("req-000024", "rank", "idle", "beads", 8));
+        assertTrue(world.reaches("n0", "req-000024", "running", 60));
+        world.time.passSeconds(3);
+        world.submit("n0", jobBody("req-000025", "rank", "urgent", "shape", "ensemble", "beads", 1, "cpus", 14.0));
+        world.time.passSeconds(4);
+        assertNotNull(world.whereIs("req-000025/0"));
+        assertTrue(world.reaches("n0", "req-000025", "done", 60));
+        // An equal does not displace an equal.
+        world.submit("n0", jobBody("req-000026", "rank", "idle", "beads", 1, "cpus", 14.0));
+        world.time.passSeconds(20);
+        assertNull(world.whereIs("req-000026/0"));
+    }
+
+    @Test
+    void guaranteeIsTakenBackFromABorrower() {
+        World world = new World(1, 16, 32 * 1024, List.of(new Settings.Team("core", 8, 0, 0, 0),
+                new Settings.Team("other", 8, 0, 0, 0)));
+        world.time.passSeconds(2);
+        world.runMicros.put("req-000027", 300_000_000L);
+        world.cloud.unexpected("large", "a", false);
+        world.cloud.capacity = 1;
+        world.submit("n0", jobBody("req-000027", "rank", "prod", "beads", 8, "crew", "other"));
+        assertTrue(world.reaches("n0", "req-000027", "running", 60));
+        world.time.passSeconds(3);
+        world.submit("n0", jobBody("req-000028", "rank", "idle", "beads", 8));
+        world.time.passSeconds(5);
+        long core = 0;
+        for (int i = 0; i < 8; i++) {
+            core += world.whereIs("req-000028/" + i) == null ? 0 : 1;
+        }
+        assertEquals(4, core, "core gets its guarantee of 8 CPUs and no more by force");
+    }
+
+    @Test
+    void faultyMachineIsReturnedAndTheWorkFinishes() {
+        World world = settled(1);
+        String bad = world.cloud.unexpected("large", "a", false);
+        world.time.passSeconds(6);
+        world.runMicros.put("req-000029/0", -1L);
+        world.runMicros.put("req-000030/0", -1L);
+        world.submit("n0", jobBody("req-000029", "beads", 1));
+        world.submit("n0", jobBody("req-000030", "beads", 1));
+        world.time.passSeconds(6);
+        world.runMicros.remove("req-000029/0");
+        world.runMicros.remove("req-000030/0");
+        assertTrue(world.reaches("n0", "req-000029", "done", 120));
+        assertTrue(world.reaches("n0", "req-000030", "done", 120));
+        assertTrue(world.cloud.released.contains(bad));
+    }
+
+    @Test
+    void jobThatFailsEverywhereDoesNotSpin() {
+        World world = settled(1);
+        world.runMicros.put("req-000031", -1L);
+        world.submit("n0", jobBody("req-000031", "beads", 1));
+        world.time.passSeconds(120);
+        assertTrue(world.starts.get("req-000031/0") < 20, world.starts.toString());
+        assertEquals("cancelled", world.withdraw("n0", "req-000031").state());
+        world.time.passSeconds(3);
+        assertNotNull(world.state.value("final/req-000031"));
+    }
+
+    @Test
+    void largeArrayFitsSmallValuesAndTransactions() {
+        World world = new World(1, 4, 1024, List.of(new Settings.Team("core", 0, 0, 0, 0)));
+        world.time.passSeconds(2);
+        for (int i = 0; i < 8; i++) {
+            world.cloud.unexpected("large", i % 2 == 0 ? "a" : "b", false);
+        }
+        // Uneven run times scatter what is left, which makes for the longest records.
+        for (int i = 0; i < 600; i++) {
+            world.runMicros.put("req-000032/" + i, 2_000_000L + 700_000L * (i % 7));
+        }
+        world.submit("n0", jobBody("req-000032", "beads", 600, "cpus", 0.5, "mem_gb", 0.5));
+        assertTrue(world.reaches("n0", "req-000032", "done", 200));
+        assertEquals(600, world.starts.size());
+        world.time.passSeconds(20);
+        assertEquals(List.of(), world.state.keys("done/"));
+        assertEquals(List.of(), world.state.keys("slices/"));
+    }
+
+    @Test
+    void finishedTasksAreNotRunAgainByASuccessor() {
+        World world = settled(2);
+        for (int i = 0; i < 4; i++) {
+            world.runMicros.put("req-000033/" + i, i < 2 ? 3_000_000L : 40_000_000L);
+        }
+        world.submit("n0", jobBody("req-000033"));
+        assertTrue(world.reaches("n0", "req-000033", "running", 60));
+        world.time.passSeconds(12);
+        world.killNode(world.leader());
+        world.time.passSeconds(8);
+        assertTrue(world.reaches(world.leader(), "req-000033", "done", 120));
+        assertTrue(world.starts.values().stream().allMatch(count -> count == 1), world.starts.toString());
+    }
+
+    @Test
+    void serviceRunsUntilItsUserEndsIt() {
+        World world = settled(1);
+        world.submit("n0", jobBody("req-000034", "shape", "service", "beads", 2, "expected_s", 0.0));
+        assertTrue(world.reaches("n0", "req-000034", "running", 60));
+        world.time.passSeconds(60);
+        assertNotEquals("done", world.poll("n0", "req-000034").state());
+        assertEquals("cancelled", world.withdraw("n0", "req-000034").state());
+        world.time.passSeconds(5);
+        assertEquals(0, world.runningTasks());
+    }
+
+    @Test
+    void workersForgetWhatIsOnRecord() {
+        World world = settled(1);
+        world.submit("n0", jobBody("req-000035"));
+        assertTrue(world.reaches("n0", "req-000035", "done", 60));
+        world.time.passSeconds(3);
+        world.workers.values().forEach(worker -> assertEquals(0, worker.listed()));
+    }
+
+    @Test
+    void followersSendWorkersToTheLeader() {
+        World world = settled(3);
+        String leader = world.leader();
+        for (String node : List.of("n0", "n1", "n2")) {
+            World.Answer answer = world.ask(node, "POST", "/checkin", Json.bytes(Json.of("forge", "m-900000",
+                    "addr", "x:1", "rig", "small", "yard", "a", "loaners", false, "shift", 1, "stitch", 1,
+                    "torch", 0, "recall_s", null, "beads", List.of())));
+            assertEquals(node.equals(leader) ? 200 : 421, answer.status());
+            if (!node.equals(leader)) {
+                assertEquals(leader, Json.text(answer.body(), "foreman"));
+            }
+        }
+    }
+
+    @Test
+    void cloudOutageDoesNotBlindAFreshNode() {
+        World world = settled(2);
+        world.cloud.down(true);
+        world.killNode("n1");
+        world.startNode("n1");
+        world.time.passSeconds(2);
+        assertEquals(200, world.ask("n1", "GET", "/ready", new byte[0]).status());
+        assertEquals(422, world.submit("n1", jobBody("req-000036", "cpus", 99.0)).status());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/weldcourse/rehearsal/FakeCloud.java
@@ -0,0 +1,127 @@
+package org.weldcourse.rehearsal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.weldcourse.http.Json;
+import org.weldcourse.http.Server;
+
+/** The cloud: two machine types in two zones, machines that come up after a while, and no lag but what is asked. */
+public final class FakeCloud implements Server.Handler {
+    public record Rented(String name, String type, String zone, boolean spot) {
+    }
+
+    private final FakeTime time;
+    private final long bootMicros;
+    private final Consumer<Rented> up;
+    private final Consumer<String> gone;
+    private final TreeMap<String, Rented> machines = new TreeMap<>();
+    private final Set<String> running = new HashSet<>();
+    private final Map<String, List<String>> requests = new HashMap<>();
+    private int made;
+    private boolean down;
+    public int capacity = 100;
+    public final List<String> released = new ArrayList<>();
+
+    public FakeCloud(FakeTime time, long bootMicros, Consumer<Rented> up, Consumer<String> gone) {
+        this.time = time;
+        this.bootMicros = bootMicros;
+        this.up = up;
+        this.gone = gone;
+    }
+
+    public void down(boolean isDown) {
+        down = isDown;
+    }
+
+    public Set<String> machines() {
+        return new HashSet<>(machines.keySet());
+    }
+
+    /** A machine that nobody here asked for. */
+    public String unexpected(String type, String zone, boolean spot) {
+        return make(type, zone, spot);
+    }
+
+    private String make(String type, String zone, boolean spot) {
+        String name = String.format("m-%06d", made++);
+        Rented rented = new Rented(name, type, zone, spot);
+        machines.put(name, rented);
+        time.after(bootMicros, () -> {
+            if (machines.containsKey(name)) {
+                running.add(name);
+                up.accept(rented);
+            }
+        });
+        return name;
+    }
+
+    @Override
+    public void handle(Server.Request request, Server.Reply reply) {
+        if (down) {
+            reply.send(503, Json.of("error", "trouble"));
+            return;
+        }
+        Map<String, Object> body = Json.objectOrEmpty(request.body());
+        switch (request.path().split("\\?")[0]) {
+            case "/machine_types" -> reply.send(200, Json.of("rigs", List.of(
+                    type("small", 4, 16, 0.4, 0.2), type("large", 16, 64, 1.6, 0.8))));
+            case "/machines/release" -> {
+                for (Object item : Json.list(body.get("forges"))) {
+                    String name = (String) item;
+                    if (machines.remove(name) != null) {
+                        running.remove(name);
+                        released.add(name);
+                        gone.accept(name);
+                    }
+                }
+                reply.send(200, Map.of());
+            }
+            default -> {
+                if (request.method().equals("GET")) {
+                    list(reply);
+                } else {
+                    rent(body, reply);
+                }
+            }
+        }
+    }
+
+    private static Map<String, Object> type(String name, int cpus, int memoryGb, double price, double spotPrice) {
+        return Json.of("name", name, "cpus", cpus, "gpus", 0, "mem_gb", memoryGb, "local_gb", 100,
+                "pull_gb_per_s", 1.0, "price", price, "spot_price", spotPrice, "ready_s", 10.0,
+                "yards", List.of("a", "b"));
+    }
+
+    private void rent(Map<String, Object> body, Server.Reply reply) {
+        String request = Json.text(body, "hire");
+        List<String> names = requests.get(request);
+        if (names == null) {
+            names = new ArrayList<>();
+            for (int i = 0; i < Json.integer(body, "number", 0) && machines.size() < capacity; i++) {
+                names.add(make(Json.text(body, "rig"), Json.text(body, "yard"), Json.flag(body, "loaners")));
+            }
+            if (names.isEmpty()) {
+                reply.send(503, Json.of("error", "no capacity"));
+                return;
+            }
+            requests.put(request, names);
+        }
+        reply.send(200, Json.of("forges", new ArrayList<Object>(names)));
+    }
+
+    private void list(Server.Reply reply) {
+        List<Object> forges = new ArrayList<>();
+        for (Rented rented : machines.values()) {
+            forges.add(Json.of("name_id", rented.name, "addr", FakeWorker.address(rented.name), "rig", rented.type,
+                    "yard", rented.zone, "loaners", rented.spot,
+                    "heat", running.contains(rented.name) ? "running" : "starting", "held_s", 1.0));
+        }
+        reply.send(200, Json.of("forges", forges, "has_next", false));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/weldcourse/rehearsal/FakeState.java
@@ -0,0 +1,270 @@
+package org.weldcourse.rehearsal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.weldcourse.http.Json;
+import org.weldcourse.http.Server;
+
+/** The state service as the protocol describes it, in memory. */
+public final class FakeState implements Server.Handler {
+    private record Value(Object value, long version, long lease) {
+    }
+
+    private record Change(String key, Object value, long version) {
+    }
+
+    private final FakeTime time;
+    private final int txnOps;
+    private final int valueBytes;
+    private final TreeMap<String, Value> values = new TreeMap<>();
+    private final List<Change> changes = new ArrayList<>();
+    private final Map<Long, Long> leaseEnds = new HashMap<>();
+    private final Map<Long, Long> leaseTtls = new HashMap<>();
+    private final Set<Runnable> watchers = new HashSet<>();
+    private long revision;
+    private long lastLease;
+    private boolean down;
+    private int writes;
+
+    public FakeState(FakeTime time, int txnOps, int valueBytes) {
+        this.time = time;
+        this.txnOps = txnOps;
+        this.valueBytes = valueBytes;
+    }
+
+    /** During an outage everything is refused; when it is over, leases have their full time again. */
+    public void down(boolean isDown) {
+        if (down && !isDown) {
+            leaseEnds.replaceAll((lease, end) -> time.nowMicros() + leaseTtls.get(lease));
+        }
+        down = isDown;
+    }
+
+    public Map<String, Object> value(String key) {
+        Value value = values.get(key);
+        return value == null ? null : Json.object(value.value);
+    }
+
+    public List<String> keys(String prefix) {
+        List<String> keys = new ArrayList<>();
+        for (String key : values.keySet()) {
+            if (key.startsWith(prefix)) {
+                keys.add(key);
+            }
+        }
+        return keys;
+    }
+
+    public int writes() {
+        return writes;
+    }
+
+    @Override
+    public void handle(Server.Request request, Server.Reply reply) {
+        if (down) {
+            reply.send(503, Json.of("error", "outage"));
+            return;
+        }
+        expire();
+        String path = request.path();
+        Map<String, Object> body = Json.objectOrEmpty(request.body());
+        if (path.startsWith("/store/")) {
+            get(path.substring("/store/".length()), reply);
+        } else if (path.startsWith("/store?")) {
+            list(parameter(path, "starts"), parameter(path, "after"),
+                    Integer.parseInt(parameter(path, "most")), reply);
+        } else if (path.equals("/commit")) {
+            commit(body, reply);
+        } else if (path.equals("/grants")) {
+            long ttlMicros = Json.integer(body, "ttl_ms", 0) * 1000;
+            leaseTtls.put(++lastLease, ttlMicros);
+            leaseEnds.put(lastLease, time.nowMicros() + ttlMicros);
+            time.after(ttlMicros + 1, this::expire);
+            reply.send(200, Json.of("permit", lastLease));
+        } else if (path.endsWith("/extend")) {
+            extend(Long.parseLong(path.split("/")[2]), reply);
+        } else if (path.startsWith("/grants/")) {
+            end(Long.parseLong(path.split("/")[2]));
+            reply.send(200, Map.of());
+        } else if (path.startsWith("/watch")) {
+            watch(parameter(path, "starts"), Long.parseLong(parameter(path, "after")),
+                    Long.parseLong(parameter(path, "block_ms")) * 1000, reply);
+        } else {
+            reply.send(400, Json.of("error", "malformed"));
+        }
+    }
+
+    private static String parameter(String path, String name) {
+        for (String part : path.substring(path.indexOf('?') + 1).split("&")) {
+            if (part.startsWith(name + "=")) {
+                return part.substring(name.length() + 1);
+            }
+        }
+        return null;
+    }
+
+    private void get(String key, Server.Reply reply) {
+        Value value = values.get(key);
+        if (value == null) {
+            reply.send(404, Json.of("ledger", revision));
+        } else {
+            reply.send(200, Json.of("path", key, "value", value.value, "mark", value.version, "permit",
+                    value.lease == 0 ? null : (Object) value.lease));
+        }
+    }
+
+    private void list(String prefix, String after, int most, Server.Reply reply) {
+        List<Object> pairs = new ArrayList<>();
+        boolean more = false;
+        for (Map.Entry<String, Value> entry : values.tailMap(after == null ? prefix : after, after == null)
+                .entrySet()) {
+            if (!entry.getKey().startsWith(prefix)) {
+                break;
+            }
+            if (pairs.size() == most) {
+                more = true;
+                break;
+            }
+            pairs.add(Json.of("path", entry.getKey(), "value", entry.getValue().value, "mark",
+                    entry.getValue().version, "permit",
+                    entry.getValue().lease == 0 ? null : (Object) entry.getValue().lease));
+        }
+        reply.send(200, Json.of("pairs", pairs, "has_next", more, "ledger", revision));
+    }
+
+    private void commit(Map<String, Object> body, Server.Reply reply) {
+        List<Object> then = Json.list(body.get("then"));
+        if (then.size() > txnOps || Json.bytes(body).length > 64 * 1024) {
+            throw new AssertionError("a transaction over the limits: " + then.size() + " changes");
+        }
+        for (Object item : then) {
+            Map<String, Object> op = Json.object(item);
+            if (op.containsKey("write") && Json.bytes(op.get("value")).length > valueBytes) {
+                throw new AssertionError("a value over the limit: " + op.get("write"));
+            }
+            long lease = Json.integer(op, "permit", 0);
+            if (lease != 0 && !leaseEnds.containsKey(lease)) {
+                reply.send(400, Json.of("error", "no such lease"));
+                return;
+            }
+        }
+        List<Object> failed = new ArrayList<>();
+        for (Object item : Json.list(body.get("guards"))) {
+            Map<String, Object> guard = Json.object(item);
+            Value value = values.get(Json.text(guard, "path"));
+            if ((value == null ? 0 : value.version) != Json.integer(guard, "mark", -1)) {
+                failed.add(Json.text(guard, "path"));
+            }
+        }
+        writes += then.size();
+        if (!failed.isEmpty()) {
+            reply.send(409, Json.of("failed", failed, "ledger", revision));
+            return;
+        }
+        revision++;
+        for (Object item : then) {
+            Map<String, Object> op = Json.object(item);
+            if (op.containsKey("write")) {
+                put(Json.text(op, "write"), new Value(op.get("value"), revision, Json.integer(op, "permit", 0)));
+            } else {
+                put(Json.text(op, "delete"), null);
+            }
+        }
+        wakeWatchers();
+        reply.send(200, Json.of("ledger", revision));
+    }
+
+    private void put(String key, Value value) {
+        if (value == null) {
+            if (values.remove(key) != null) {
+                changes.add(new Change(key, null, revision));
+            }
+        } else {
+            values.put(key, value);
+            changes.add(new Change(key, value.value, revision));
+        }
+    }
+
+    private void extend(long lease, Server.Reply reply) {
+        if (!leaseEnds.containsKey(lease)) {
+            reply.send(404, Map.of());
+            return;
+        }
+        leaseEnds.put(lease, time.nowMicros() + leaseTtls.get(lease));
+        time.after(leaseTtls.get(lease) + 1, this::expire);
+        reply.send(200, Map.of());
+    }
+
+    private void expire() {
+        if (down) {
+            return;
+        }
+        for (Map.Entry<Long, Long> entry : new HashMap<>(leaseEnds).entrySet()) {
+            if (entry.getValue() <= time.nowMicros()) {
+                end(entry.getKey());
+            }
+        }
+    }
+
+    private void end(long lease) {
+        if (leaseEnds.remove(lease) == null) {
+            return;
+        }
+        List<String> attached = new ArrayList<>();
+        values.forEach((key, value) -> {
+            if (value.lease == lease) {
+                attached.add(key);
+            }
+        });
+        if (!attached.isEmpty()) {
+            revision++;
+            attached.forEach(key -> put(key, null));
+            wakeWatchers();
+        }
+    }
+
+    private void watch(String prefix, long after, long waitMicros, Server.Reply reply) {
+        boolean[] answered = new boolean[1];
+        Runnable look = new Runnable() {
+            @Override
+            public void run() {
+                List<Object> events = new ArrayList<>();
+                for (Change change : changes) {
+                    if (change.version > after && change.key.startsWith(prefix)) {
+                        events.add(change.value == null ? Json.of("delete", change.key, "mark", change.version)
+                                : Json.of("write", change.key, "value", change.value, "mark", change.version));
+                    }
+                }
+                if (!events.isEmpty() && !answered[0]) {
+                    answered[0] = true;
+                    watchers.remove(this);
+                    reply.send(200, Json.of("ledger", revision, "events", events));
+                }
+            }
+        };
+        look.run();
+        if (!answered[0]) {
+            watchers.add(look);
+            time.after(waitMicros, () -> {
+                if (!answered[0]) {
+                    answered[0] = true;
+                    watchers.remove(look);
+                    reply.send(200, Json.of("ledger", revision, "events", List.of()));
+                }
+            });
+        }
+    }
+
+    private void wakeWatchers() {
+        time.after(0, () -> {
+            if (!down) {
+                new ArrayList<>(watchers).forEach(Runnable::run);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/src/test/java/org/weldcourse/rehearsal/FakeWorker.java
@@ -0,0 +1,256 @@
+package org.weldcourse.rehearsal;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.weldcourse.http.Caller;
+import org.weldcourse.http.Json;
+import org.weldcourse.http.Server;
+
+/** A worker on one machine. Images are there at once; how long tasks run is up to the world. */
+public final class FakeWorker implements Server.Handler {
+    /** What the workers' tasks are, and who must know when one starts or ends. */
+    public interface Tasks {
+        long runMicros(String task);
+
+        void started(FakeWorker worker, String task, int attempt);
+
+        void ended(FakeWorker worker, String task);
+    }
+
+    private static final class Bead {
+        final int attempt;
+        String heat = "running";
+        String cause;
+
+        Bead(int attempt) {
+            this.attempt = attempt;
+        }
+    }
+
+    private final FakeTime time;
+    private final Caller caller;
+    private final List<String> controllers;
+    private final Map<String, String> addressByName;
+    private final FakeCloud.Rented machine;
+    private final Tasks tasks;
+    private final long reportMicros;
+    private final long leaseMicros;
+    private final Map<String, Bead> beads = new LinkedHashMap<>();
+    private long session = 1;
+    private long sequence;
+    private long token;
+    private long answeredSentMicros;
+    private int target;
+    private boolean alive = true;
+    private boolean frozen;
+    private long noticeEndsMicros = -1;
+    private boolean inFlight;
+    private long lastSentMicros = -1_000_000;
+
+    public FakeWorker(FakeTime time, Caller caller, List<String> controllers, Map<String, String> addressByName,
+            FakeCloud.Rented machine, Tasks tasks, long reportMicros, long leaseMicros) {
+        this.time = time;
+        this.caller = caller;
+        this.controllers = controllers;
+        this.addressByName = addressByName;
+        this.machine = machine;
+        this.tasks = tasks;
+        this.reportMicros = reportMicros;
+        this.leaseMicros = leaseMicros;
+        this.answeredSentMicros = time.nowMicros();
+        tick();
+    }
+
+    public static String address(String machine) {
+        return "worker-" + machine + ":9000";
+    }
+
+    public FakeCloud.Rented machine() {
+        return machine;
+    }
+
+    public long token() {
+        return token;
+    }
+
+    /** Tasks that are on the machine, in the rules' sense. */
+    public List<String> present() {
+        List<String> present = new ArrayList<>();
+        beads.forEach((task, bead) -> {
+            if (!bead.heat.equals("exited")) {
+                present.add(task);
+            }
+        });
+        return present;
+    }
+
+    public int listed() {
+        return beads.size();
+    }
+
+    public void notice(long micros) {
+        noticeEndsMicros = time.nowMicros() + micros;
+        report();
+    }
+
+    public void freeze(boolean isFrozen) {
+        frozen = isFrozen;
+    }
+
+    public void die() {
+        alive = false;
+        new ArrayList<>(beads.keySet()).forEach(this::drop);
+    }
+
+    private void drop(String task) {
+        Bead bead = beads.remove(task);
+        if (bead != null && !bead.heat.equals("exited")) {
+            tasks.ended(this, task);
+        }
+    }
+
+    private void tick() {
+        if (!alive) {
+            return;
+        }
+        if (!frozen) {
+            if (time.nowMicros() - answeredSentMicros > leaseMicros) {
+                new ArrayList<>(beads.keySet()).forEach(this::drop);
+                session++;
+                answeredSentMicros = time.nowMicros();
+            }
+            if (time.nowMicros() - lastSentMicros >= reportMicros) {
+                report();
+            }
+        }
+        time.after(100_000, this::tick);
+    }
+
+    /** A change is reported at once, but no sooner than half a second after the last report. */
+    private void changed() {
+        time.after(Math.max(0, lastSentMicros + 500_000 - time.nowMicros()), this::report);
+    }
+
+    private void report() {
+        if (!alive || frozen || inFlight) {
+            return;
+        }
+        inFlight = true;
+        lastSentMicros = time.nowMicros();
+        long sentMicros = time.nowMicros();
+        long sentSession = session;
+        caller.call(new Caller.Call(controllers.get(target), "POST", "/checkin", body(), 4_000_000), answer -> {
+            inFlight = false;
+            if (!alive || sentSession != session) {
+                return;
+            }
+            if (answer.status() == 421) {
+                String foreman = addressByName.get(Json.text(answer.body(), "foreman"));
+                target = foreman == null || foreman.equals(controllers.get(target))
+                        ? (target + 1) % controllers.size() : controllers.indexOf(foreman);
+                time.after(200_000, this::report);
+            } else if (answer.status() == 200) {
+                answered(answer.body(), sentMicros);
+            } else {
+                target = (target + 1) % controllers.size();
+                time.after(1_000_000, this::report);
+            }
+        });
+    }
+
+    private void answered(Map<String, Object> body, long sentMicros) {
+        long theirs = Json.integer(body, "torch", 0);
+        if (theirs < token) {
+            return;
+        }
+        if (theirs > token) {
+            token = theirs;
+            changed();
+        }
+        answeredSentMicros = sentMicros;
+        carryOut(Json.list(body.get("orders")));
+    }
+
+    private Map<String, Object> body() {
+        List<Object> list = new ArrayList<>();
+        beads.forEach((task, bead) -> {
+            Map<String, Object> item = Json.of("bead", task, "strike", bead.attempt, "heat", bead.heat);
+            if (bead.cause != null) {
+                item.put("cause", bead.cause);
+            }
+            list.add(item);
+        });
+        return Json.of("forge", machine.name(), "addr", address(machine.name()), "rig", machine.type(),
+                "yard", machine.zone(), "loaners", machine.spot(), "shift", session, "stitch", ++sequence,
+                "torch", token, "recall_s",
+                noticeEndsMicros < 0 ? null : (Object) ((noticeEndsMicros - time.nowMicros()) / 1e6), "beads", list);
+    }
+
+    private void carryOut(List<Object> orders) {
+        for (Object item : orders) {
+            Map<String, Object> order = Json.object(item);
+            String task = Json.text(order, "bead");
+            int attempt = (int) Json.integer(order, "strike", 0);
+            Bead bead = beads.get(task);
+            switch (Json.text(order, "order")) {
+                case "run" -> run(task, attempt, bead);
+                case "halt" -> {
+                    if (bead != null && bead.attempt == attempt && !bead.heat.equals("exited")) {
+                        exit(task, bead, "stopped");
+                    }
+                }
+                default -> {
+                    if (bead != null && bead.attempt == attempt && bead.heat.equals("exited")) {
+                        beads.remove(task);
+                        changed();
+                    }
+                }
+            }
+        }
+    }
+
+    private void run(String task, int attempt, Bead bead) {
+        if (bead != null && bead.attempt == attempt) {
+            return;
+        }
+        if (bead != null && !bead.heat.equals("exited")) {
+            throw new AssertionError(task + " was started over its own other attempt on " + machine.name());
+        }
+        Bead fresh = new Bead(attempt);
+        beads.put(task, fresh);
+        tasks.started(this, task, attempt);
+        long runMicros = tasks.runMicros(task);
+        if (runMicros < Long.MAX_VALUE) {
+            time.after(runMicros, () -> {
+                if (beads.get(task) == fresh && fresh.heat.equals("running")) {
+                    exit(task, fresh, runMicros < 0 ? "error" : "done");
+                }
+            });
+        }
+        changed();
+    }
+
+    private void exit(String task, Bead bead, String cause) {
+        bead.heat = "exited";
+        bead.cause = cause;
+        tasks.ended(this, task);
+        changed();
+    }
+
+    @Override
+    public void handle(Server.Request request, Server.Reply reply) {
+        Map<String, Object> body = Json.objectOrEmpty(request.body());
+        if (!alive) {
+            return;
+        }
+        if (Json.integer(body, "torch", 0) < token || Json.integer(body, "shift", 0) != session) {
+            reply.send(409, body());
+            return;
+        }
+        token = Json.integer(body, "torch", 0);
+        carryOut(Json.list(body.get("orders")));
+        reply.send(200, body());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/weldcourse/rehearsal/World.java
@@ -0,0 +1,288 @@
+package org.weldcourse.rehearsal;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.weldcourse.app.Controller;
+import org.weldcourse.http.Json;
+import org.weldcourse.http.Server;
+import org.weldcourse.settings.Settings;
+import org.weldcourse.settings.Tuning;
+
+/**
+ * A small cluster on a fake clock: controllers of ours, everything else scripted. It watches the rules while
+ * it runs and fails the test that breaks one.
+ */
+public final class World implements FakeWorker.Tasks {
+    public static final long REPORT_MICROS = 1_000_000;
+    public static final long LEASE_MICROS = 10_000_000;
+    public static final long CANCEL_MICROS = 35_000_000;
+    public static final long STATE_LEASE_MICROS = 4_000_000;
+    private static final String STATE = "state:1";
+    private static final String CLOUD = "cloud:1";
+
+    public final FakeTime time = new FakeTime();
+    public final FakeNet net = new FakeNet(time);
+    public final FakeState state;
+    public final FakeCloud cloud;
+    public final Map<String, FakeWorker> workers = new LinkedHashMap<>();
+    public final Map<String, Integer> starts = new HashMap<>();
+    public final Map<String, Map<String, Object>> jobs = new HashMap<>();
+    public final Map<String, Long> runMicros = new HashMap<>();
+    private final Map<String, FakeWorker> running = new HashMap<>();
+    private final Map<String, Long> cancelledMicros = new HashMap<>();
+    private final Map<String, Controller> controllers = new LinkedHashMap<>();
+    private final Map<String, String> addressByName = new LinkedHashMap<>();
+    private final List<Settings.Team> teams;
+    private final int txnOps;
+    private final int valueBytes;
+
+    public World(int nodes) {
+        this(nodes, 16, 32 * 1024, List.of(new Settings.Team("core", 0, 0, 0, 0),
+                new Settings.Team("capped", 0, 8, 0, 0)));
+    }
+
+    public World(int nodes, int txnOps, int valueBytes, List<Settings.Team> teams) {
+        this.txnOps = txnOps;
+        this.valueBytes = valueBytes;
+        this.teams = teams;
+        state = new FakeState(time, txnOps, valueBytes);
+        cloud = new FakeCloud(time, 5_000_000, this::machineUp, this::machineGone);
+        net.host(STATE, state);
+        net.host(CLOUD, cloud);
+        for (int i = 0; i < nodes; i++) {
+            addressByName.put("n" + i, "n" + i + ":80");
+        }
+        addressByName.keySet().forEach(this::startNode);
+    }
+
+    public void startNode(String name) {
+        Controller controller = new Controller(settings(name), Tuning.DEFAULT, net.caller(name), time, time);
+        controllers.put(name, controller);
+        net.host(addressByName.get(name), controller);
+        controller.start();
+    }
+
+    /** The process is gone from one moment to the next: nobody hears of it again. */
+    public void killNode(String name) {
+        controllers.remove(name).stop();
+        net.remove(addressByName.get(name));
+    }
+
+    public void cutFromState(String name) {
+        net.cut(name, STATE);
+    }
+
+    public void healToState(String name) {
+        net.heal(name, STATE);
+    }
+
+    public void cutFromCloud(String name) {
+        net.cut(name, CLOUD);
+    }
+
+    public void cutFromWorkers(String name) {
+        workers.keySet().forEach(machine -> net.cut(machine, addressByName.get(name)));
+    }
+
+    public void healToWorkers(String name) {
+        workers.keySet().forEach(machine -> net.heal(machine, addressByName.get(name)));
+    }
+
+    public void loseAnswers(String name, boolean lose) {
+        net.loseAnswers(name, lose);
+    }
+
+    public String leader() {
+        String leader = null;
+        for (Map.Entry<String, Controller> entry : controllers.entrySet()) {
+            if (entry.getValue().leads()) {
+                leader = entry.getKey();
+            }
+        }
+        return leader;
+    }
+
+    public Controller controller(String name) {
+        return controllers.get(name);
+    }
+
+    private Settings settings(String name) {
+        List<Settings.Peer> peers = new ArrayList<>();
+        addressByName.forEach((other, address) -> {
+            if (!other.equals(name)) {
+                peers.add(new Settings.Peer(other, "a", other + ":81"));
+            }
+        });
+        return new Settings(name, "a", addressByName.get(name), name + ":81", peers, CLOUD, STATE,
+                List.of("a", "b"), teams, List.of(),
+                new Settings.Workers(REPORT_MICROS, LEASE_MICROS, 40_000_000, 4_000_000, CANCEL_MICROS),
+                new Settings.State(250, 50, valueBytes, txnOps), new Settings.Cloud(3, 8_000_000), 500);
+    }
+
+    private void machineUp(FakeCloud.Rented rented) {
+        FakeWorker worker = new FakeWorker(time, net.caller(rented.name()), new ArrayList<>(addressByName.values()),
+                addressByName, rented, this, REPORT_MICROS, LEASE_MICROS);
+        workers.put(rented.name(), worker);
+        net.host(FakeWorker.address(rented.name()), worker);
+    }
+
+    private void machineGone(String name) {
+        FakeWorker worker = workers.remove(name);
+        if (worker != null) {
+            worker.die();
+            net.remove(FakeWorker.address(name));
+        }
+    }
+
+    // Users
+
+    public record Answer(int status, Map<String, Object> body, int retryAfterSeconds) {
+        public String state() {
+            return Json.text(body, "heat");
+        }
+    }
+
+    public static Map<String, Object> jobBody(String id, Object... changes) {
+        Map<String, Object> job = Json.of("name_id", id, "course", "any", "crew", "core", "shape", "array",
+                "rank", "normal", "beads", 4, "cpus", 2.0, "gpus", 0.0, "mem_gb", 4.0, "blank", "img",
+                "size_gb", 1.0, "rigs", null, "yard", null, "together", false, "apart", false, "loaners", true,
+                "expected_s", 10.0, "tack_s", 0.0, "quench_s", 0.0, "due_s", null);
+        job.putAll(Json.of(changes));
+        return job;
+    }
+
+    public Answer submit(String node, Map<String, Object> job) {
+        jobs.put(Json.text(job, "name_id"), Json.objectOrEmpty(Json.bytes(job)));
+        return ask(node, "POST", "/v1/jobs", Json.bytes(job));
+    }
+
+    public Answer poll(String node, String id) {
+        return ask(node, "GET", "/v1/jobs/" + id, new byte[0]);
+    }
+
+    public Answer withdraw(String node, String id) {
+        Answer answer = ask(node, "POST", "/v1/jobs/" + id + "/withdraw", new byte[0]);
+        if (answer.status() == 200 && "cancelled".equals(answer.state())) {
+            cancelledMicros.putIfAbsent(id, time.nowMicros());
+        }
+        return answer;
+    }
+
+    /** Asks a node and lets time pass until it answers, for five seconds at most; status 0: no answer. */
+    public Answer ask(String node, String method, String path, byte[] body) {
+        Answer[] answer = new Answer[1];
+        controllers.get(node).handle(new Server.Request(method, path, body),
+                (status, object, retryAfterSeconds) ->
+                        answer[0] = new Answer(status, Json.objectOrEmpty(Json.bytes(object)), retryAfterSeconds));
+        for (int i = 0; i < 500 && answer[0] == null; i++) {
+            time.pass(10_000);
+        }
+        return answer[0] == null ? new Answer(0, Map.of(), 0) : answer[0];
+    }
+
+    /** Lets time pass until the job has this state, and returns whether it came to that. */
+    public boolean reaches(String node, String id, String heat, double seconds) {
+        for (int i = 0; i < seconds * 2; i++) {
+            if (heat.equals(poll(node, id).state())) {
+                return true;
+            }
+            time.pass(500_000);
+        }
+        return false;
+    }
+
+    /** Fails when a task of a cancelled job is still somewhere after the time that the rules allow. */
+    public void checkCancelled() {
+        cancelledMicros.forEach((id, at) -> {
+            for (String task : running.keySet()) {
+                if (task.startsWith(id + "/") && time.nowMicros() > at + CANCEL_MICROS) {
+                    throw new AssertionError("ran_cancelled: " + task);
+                }
+            }
+        });
+    }
+
+    public FakeWorker whereIs(String task) {
+        return running.get(task);
+    }
+
+    public int runningTasks() {
+        return running.size();
+    }
+
+    // The rules, as tasks come and go
+
+    @Override
+    public long runMicros(String task) {
+        String id = task.substring(0, task.indexOf('/'));
+        return runMicros.getOrDefault(task, runMicros.getOrDefault(id, 10_000_000L));
+    }
+
+    @Override
+    public void started(FakeWorker worker, String task, int attempt) {
+        String id = task.substring(0, task.indexOf('/'));
+        if (running.containsKey(task)) {
+            throw new AssertionError("ran_twice: " + task);
+        }
+        Long cancelled = cancelledMicros.get(id);
+        if (cancelled != null && time.nowMicros() > cancelled + CANCEL_MICROS) {
+            throw new AssertionError("ran_cancelled: " + task);
+        }
+        Map<String, Object> job = jobs.get(id);
+        if (job == null) {
+            throw new AssertionError("a task of no job: " + task);
+        }
+        checkPlace(job, id, worker);
+        running.put(task, worker);
+        starts.merge(task, 1, Integer::sum);
+        checkQuota(Json.text(job, "crew"));
+    }
+
+    private void checkPlace(Map<String, Object> job, String id, FakeWorker worker) {
+        FakeCloud.Rented at = worker.machine();
+        boolean wrong = job.get("rigs") != null && !Json.list(job.get("rigs")).contains(at.type())
+                || job.get("yard") != null && !job.get("yard").equals(at.zone())
+                || !Json.flag(job, "loaners") && at.spot();
+        Set<String> zones = new HashSet<>();
+        int sameZone = 1;
+        for (Map.Entry<String, FakeWorker> entry : running.entrySet()) {
+            if (entry.getKey().startsWith(id + "/")) {
+                String zone = entry.getValue().machine().zone();
+                zones.add(zone);
+                sameZone += zone.equals(at.zone()) ? 1 : 0;
+            }
+        }
+        zones.add(at.zone());
+        long tasks = Json.integer(job, "beads", 0);
+        wrong |= Json.flag(job, "together") && zones.size() > 1;
+        wrong |= Json.flag(job, "apart") && sameZone > (tasks + 1) / 2;
+        if (wrong) {
+            throw new AssertionError("wrong_place: " + id + " on " + at);
+        }
+    }
+
+    private void checkQuota(String crew) {
+        double used = 0;
+        for (String task : running.keySet()) {
+            Map<String, Object> job = jobs.get(task.substring(0, task.indexOf('/')));
+            if (crew.equals(Json.text(job, "crew"))) {
+                used += Json.decimal(job, "cpus", 0);
+            }
+        }
+        for (Settings.Team team : teams) {
+            if (team.name().equals(crew) && used > team.cpusMax() + 1e-9) {
+                throw new AssertionError("quota: " + crew + " uses " + used);
+            }
+        }
+    }
+
+    @Override
+    public void ended(FakeWorker worker, String task) {
+        running.remove(task, worker);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/weldcourse/settings/SettingsTest.java
@@ -0,0 +1,73 @@
+package org.weldcourse.settings;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayInputStream;
+import java.io.StringReader;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+
+class SettingsTest {
+    private static final String FILE = String.join("\n",
+            "host_name = \"n-1\"", "site = \"a\"", "api_addr = \"10.0.0.1:80\"", "back = \"10.0.0.1:81\"",
+            "unheard_of = [1, 2]",
+            "[[known]]", "host_name = \"n-2\"", "site = \"b\"", "address = \"10.0.0.2:81\"",
+            "[endpoints]", "cloud = \"10.1.0.1:1\"", "state = \"10.1.0.2:2\"",
+            "[deployment]", "zones = [\"a\", \"b\"]",
+            "[[deployment.teams]]", "name = \"t\"", "cpus = 4.0", "cpus_max = 0.0", "gpus = 0.0", "gpus_max = 2.0",
+            "[[deployment.objectives]]", "kind = \"deadline\"", "class = \"c\"", "share = 0.9", "times = 1.5",
+            "[deployment.workers]", "report_s = 1.5", "lease_s = 10", "gang_wait_s = 40.0", "gang_peer_s = 4.0",
+            "cancel_s = 35.0",
+            "[deployment.state]", "rps = 100.0", "write_rps = 50.0", "value_kb = 4.0", "txn_ops = 8",
+            "[deployment.cloud]", "rps = 3.0", "list_lag_s = 8.0",
+            "[deployment.quota]", "max_sockets = 500");
+
+    @Test
+    void readsWhatItKnowsAndIgnoresTheRest() throws Exception {
+        Settings settings = SettingsFile.parse(new StringReader(FILE));
+        assertEquals(1_500_000, settings.workers().reportMicros());
+        assertEquals(10_000_000, settings.workers().leaseMicros());
+        assertEquals(4096, settings.state().valueBytes());
+        assertEquals("n-2", settings.peers().get(0).name());
+        assertTrue(Double.isInfinite(settings.team("t").cpusMax()));
+        assertEquals(2.0, settings.team("t").gpusMax());
+    }
+
+    @Test
+    void namesWhatIsMissingOrInvalid() {
+        for (String[] change : new String[][] {
+                {"report_s = 1.5", "", "report_s"}, {"report_s = 1.5", "report_s = 0", "report_s"},
+                {"api_addr = \"10.0.0.1:80\"", "api_addr = \"here\"", "api_addr"},
+                {"[endpoints]", "[elsewhere]", "endpoints"}, {"txn_ops = 8", "txn_ops = \"x\"", "txn_ops"},
+                {"host_name = \"n-1\"", "host_name = ", "TOML"}}) {
+            SettingsFile.Invalid invalid = assertThrows(SettingsFile.Invalid.class,
+                    () -> SettingsFile.parse(new StringReader(FILE.replace(change[0], change[1]))));
+            assertTrue(invalid.getMessage().contains(change[2]), invalid.getMessage());
+            assertEquals(1, invalid.getMessage().lines().count());
+        }
+    }
+
+    private static Tuning tuning(String xml) throws SettingsFile.Invalid {
+        return Tuning.parse(new ByteArrayInputStream(xml.getBytes(StandardCharsets.UTF_8)));
+    }
+
+    @Test
+    void operatorsSettingsOverrideDefaults() throws Exception {
+        Tuning tuning = tuning("<weldcourse><idle-hold-s>12.5</idle-hold-s></weldcourse>");
+        assertEquals(12_500_000, tuning.idleHoldMicros());
+        assertEquals(Tuning.DEFAULT.stateLeaseMicros(), tuning.stateLeaseMicros());
+    }
+
+    @Test
+    void operatorsSettingsAreChecked() {
+        for (String xml : new String[] {"<other/>", "<weldcourse><what>1</what></weldcourse>", "<weldcourse>",
+                "<weldcourse><warm-machines>many</warm-machines></weldcourse>",
+                "<weldcourse><state-lease-s>0</state-lease-s></weldcourse>",
+                "<!DOCTYPE weldcourse [<!ENTITY e SYSTEM \"file:///etc/passwd\">]><weldcourse>"
+                        + "<idle-hold-s>&e;</idle-hold-s></weldcourse>"}) {
+            assertThrows(SettingsFile.Invalid.class, () -> tuning(xml), xml);
+        }
+    }
+}
