--- a/src/main/java/org/weldcourse/fleet/FleetKeeper.java
+++ b/src/main/java/org/weldcourse/fleet/FleetKeeper.java
@@ -30,6 +30,7 @@
     private static final long REFUSED_MICROS = 15_000_000;
     /** A machine is charged for this long at least, with a little less so that it goes before the next second. */
     private static final long LEAST_CHARGED_MICROS = 58_000_000;
+    private static final double LOAD_MEMORY_MICROS = 60e6;
     private static final int MOST_PER_REQUEST = 50;
     private static final int MOST_NEW_AT_ONCE = 30;
     private static final int JOBS_TO_BLAME_MACHINE = 2;
@@ -50,6 +51,8 @@
     private final Set<String> releasedNames = new HashSet<>();
     private final ArrayDeque<Runnable> again = new ArrayDeque<>();
     private List<FleetPlanner.Need> needs = List.of();
+    /** The part of the sought machines' CPUs that classes with an aim for their start had of late. */
+    private double soughtLoad;
     private final Spending spending = new Spending();
     private long nextListMicros;
     private long requests;
@@ -101,6 +104,21 @@
         return releasedNames.contains(machine);
     }
 
+    private double soughtLoadNow() {
+        double all = 0;
+        double taken = 0;
+        for (Machine machine : board.machines.values()) {
+            if (!machine.isUp() || machine.type == null || !isSought(machine)) {
+                continue;
+            }
+            all += machine.type.cpus();
+            for (Booking booking : machine.bookings.values()) {
+                taken += startAims.containsKey(booking.job.spec.jobClass()) ? booking.job.spec.cpus() : 0;
+            }
+        }
+        return all == 0 ? 0 : Math.min(1, taken / all);
+    }
+
     public Spending spending() {
         return spending;
     }
@@ -135,6 +153,7 @@
         while (!again.isEmpty() && calls.tryTake(1)) {
             again.poll().run();
         }
+        soughtLoad += (soughtLoadNow() - soughtLoad) * STEP_MICROS / LOAD_MEMORY_MICROS;
         spending.count(board.machines.values(), nowMicros);
         release(nowMicros);
         rent(nowMicros);
@@ -208,7 +227,7 @@
             busyCpuMicros += board.runTimes.leftMicros(booking, nowMicros) * booking.job.spec.cpus();
         }
         return new FleetPlanner.Host(machine.type, machine.zone, machine.spot, booting, availableAtMicros,
-                busyCpuMicros);
+                busyCpuMicros, isSought(machine) ? soughtLoad : 0);
     }
 
     private void rent(String request, Offer offer, int count) {
--- a/src/main/java/org/weldcourse/fleet/FleetPlanner.java
+++ b/src/main/java/org/weldcourse/fleet/FleetPlanner.java
@@ -27,9 +27,12 @@
     public record Offer(String type, String zone, boolean spot) {
     }
 
-    /** A machine from when it can take work, and the work that is on it already. */
+    /**
+     * A machine from when it can take work, the work that is on it already, and the part of it that more
+     * important work is likely to take from what waits now.
+     */
     public record Host(MachineType type, String zone, boolean spot, boolean booting, long availableAtMicros,
-            double busyCpuMicros) {
+            double busyCpuMicros, double takenShare) {
     }
 
     /** Tasks that wait, in order of importance, each expected to run so long, all of them due at a time. */
@@ -53,11 +56,13 @@
 
         /** Work of the need that it can do by the time it is due. */
         double offers(Need need, long dueMicros) {
-            long windowMicros = dueMicros - host.availableAtMicros();
-            if (!allowed(need.job(), host) || windowMicros < need.runMicros()) {
+            // Tasks can't be split: a window of two and a half runs is worth two.
+            long runs = (dueMicros - host.availableAtMicros()) / need.runMicros();
+            if (!allowed(need.job(), host) || runs <= 0) {
                 return 0;
             }
-            double most = EFFICIENCY * host.type().tasksThatFit(need.job()) * need.job().cpus() * windowMicros;
+            double most = EFFICIENCY * (1 - host.takenShare()) * host.type().tasksThatFit(need.job())
+                    * need.job().cpus() * runs * need.runMicros();
             return Math.max(0, most - usedCpuMicros);
         }
     }
@@ -111,6 +116,7 @@
                 Math.floor((supply.gangCpus + MachineType.EPSILON) / need.job().cpus()));
         int taken = Math.min(wanted, slots);
         supply.gangCpus -= taken * need.job().cpus();
+        supply.usedCpuMicros += (double) taken * need.job().cpus() * need.runMicros();
         return taken;
     }
 
@@ -150,12 +156,12 @@
             }
         }
         return quickest == null ? nowMicros
-                : nowMicros + quickest.type.bootMicros() * 5 / 4 + need.runMicros() * 2;
+                : nowMicros + quickest.type.bootMicros() * 5 / 4 + need.runMicros() * 6 / 5;
     }
 
     private record Choice(Offer offer, MachineType type, double cost) {
         Supply supply(long nowMicros) {
-            return new Supply(new Host(type, offer.zone(), offer.spot(), true, nowMicros + type.bootMicros(), 0));
+            return new Supply(new Host(type, offer.zone(), offer.spot(), true, nowMicros + type.bootMicros(), 0, 0));
         }
     }
 
--- a/src/main/java/org/weldcourse/jobs/JobApi.java
+++ b/src/main/java/org/weldcourse/jobs/JobApi.java
@@ -81,7 +81,8 @@
                 .put(Keys.open(spec.id()), JobCodec.record(spec, nowWallMicros, false));
         store.commit(txn, commit -> {
             if (commit.outcome() == Outcome.OK) {
-                LOG.debug("{}: accepted", spec.id());
+                LOG.debug("{}: accepted, {} x {} tasks of {} CPUs, {} s each, due in {} s", spec.id(), spec.jobClass(),
+                        spec.tasks(), spec.cpus(), spec.estimateMicros() / 1e6, spec.deadlineMicros() / 1e6);
                 reply.send(201, state(spec.id(), "queued", 0, 0));
             } else if (commit.outcome() == Outcome.NO) {
                 lookUp(spec.id(), reply, () -> reply.refuse(503, "try again", 1));
