--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -49,7 +49,7 @@
     private static final long WATCH_MICROS = 8_000_000;
     private static final long DIRECT_TIMEOUT_MICROS = 2_000_000;
     /** Estimates err and machines boot late: plan to be done after this part of the time allowed. */
-    private static final double DUE_SHARE = 0.65;
+    private static final double DUE_SHARE = 0.85;
     private static final long STATUS_MICROS = 30_000_000;
     private static final long LEAST_RUN_MICROS = 1_000_000;
     private static final long CANCEL_MARGIN_MICROS = 3_000_000;
--- a/src/main/java/org/weldcourse/fleet/FleetPlanner.java
+++ b/src/main/java/org/weldcourse/fleet/FleetPlanner.java
@@ -13,10 +13,10 @@
  * there or on their way as far as those can do the work in time; what they can't, and gangs, get new ones.
  */
 public final class FleetPlanner {
-    /** The part of a machine's time that work really gets, after fetches, gaps and uneven run times. */
-    private static final double EFFICIENCY = 0.75;
+    /** The part of a machine's time that work really gets, after fetches and gaps. */
+    private static final double EFFICIENCY = 0.95;
     /** A shortfall below this part of a new machine's work is not worth a machine. */
-    private static final double WORTH_A_MACHINE = 0.25;
+    private static final double WORTH_A_MACHINE = 0.35;
     /** How much a machine is expected to earn back of its boot: the stay that boot time is weighed against. */
     private static final double STAY_MICROS = 180e6;
 
