--- a/src/main/java/org/weldcourse/app/Controller.java
+++ b/src/main/java/org/weldcourse/app/Controller.java
@@ -11,6 +11,8 @@
 import org.weldcourse.http.Server.Request;
 import org.weldcourse.jobs.JobApi;
 import org.weldcourse.leadership.Leadership;
+import org.weldcourse.peers.PeerStatus;
+import org.weldcourse.peers.Peers;
 import org.weldcourse.runtime.Clock;
 import org.weldcourse.runtime.Timers;
 import org.weldcourse.settings.Settings;
@@ -20,7 +22,8 @@
 import org.weldcourse.workers.Report;
 
 /** One controller: wires the slices together and routes requests to them. All of it runs on one event loop. */
-public final class Controller implements Server.Handler, Leadership.Listener {
+public final class Controller implements Server.Handler, Leadership.Listener, Peers.Node {
+    private static final long UNREADY_AFTER_MICROS = 1_000_000;
     private static final String JOBS = "/v1/jobs";
 
     private final Settings settings;
@@ -28,11 +31,16 @@
     private final TypesDuty types;
     private final JobApi jobs;
     private final Term.Parts parts;
+    private final Store store;
+    private final Clock clock;
+    private final Peers peers;
     private Term term;
 
     public Controller(Settings settings, Tuning tuning, Caller caller, Clock clock, Timers timers) {
         this.settings = settings;
-        Store store = new Store(caller, clock, settings.stateAddress());
+        this.clock = clock;
+        this.peers = new Peers(clock, this);
+        this.store = new Store(caller, clock, settings.stateAddress());
         Cloud cloud = new Cloud(caller, settings.cloudAddress());
         this.leadership =
                 new Leadership(settings.nodeName(), store, clock, timers, tuning.stateLeaseMicros(), this);
@@ -53,6 +61,29 @@
         types.cancel();
     }
 
+    public Peers peers() {
+        return peers;
+    }
+
+    @Override
+    public PeerStatus status() {
+        return new PeerStatus(settings.nodeName(), leadership.token(), leadership.leads(), reachesStore());
+    }
+
+    @Override
+    public void peerLeads(String name, long token) {
+        leadership.peerLeads(token);
+    }
+
+    @Override
+    public void peerEnded(String name) {
+        leadership.peerEnded(name);
+    }
+
+    private boolean reachesStore() {
+        return store.failingSinceMicros() < 0;
+    }
+
     public boolean leads() {
         return leadership.leads();
     }
@@ -113,6 +144,10 @@
     private void ready(Reply reply) {
         if (types.known().isEmpty()) {
             reply.refuse(503, "machine types are not known yet", 1);
+        } else if (!reachesStore() && clock.nowMicros() - store.failingSinceMicros() > UNREADY_AFTER_MICROS
+                && peers.othersReachStore()) {
+            // Refused here and served elsewhere: users do better there. In an outage for all, leaving helps nobody.
+            reply.refuse(503, "the state service does not serve this node", 2);
         } else {
             reply.send(200, Json.of("ready", true));
         }
--- a/src/main/java/org/weldcourse/app/Node.java
+++ b/src/main/java/org/weldcourse/app/Node.java
@@ -7,6 +7,7 @@
 import org.slf4j.LoggerFactory;
 import org.weldcourse.http.NettyCaller;
 import org.weldcourse.http.Server;
+import org.weldcourse.peers.PeerNet;
 import org.weldcourse.runtime.Loop;
 import org.weldcourse.settings.Settings;
 import org.weldcourse.settings.Tuning;
@@ -32,6 +33,9 @@
     public void start() throws InterruptedException {
         new Server(eventLoop, controller, Math.max(LEAST_CONNECTIONS, settings.maxSockets() - OWN_SOCKETS))
                 .listen(settings.listenAddress());
+        PeerNet peerNet = new PeerNet(eventLoop, controller.peers());
+        peerNet.listen(settings.peerAddress());
+        settings.peers().forEach(peerNet::speakTo);
         eventLoop.execute(controller::start);
         LOG.info("{} in {} listens on {}", settings.nodeName(), settings.zone(), settings.listenAddress());
     }
--- a/src/main/java/org/weldcourse/leadership/Leadership.java
+++ b/src/main/java/org/weldcourse/leadership/Leadership.java
@@ -28,6 +28,7 @@
 
     private Phase phase = Phase.LOOKING;
     private String leaderName;
+    private long leaderLease;
     private long lease;
     private long token;
     private long epochVersion;
@@ -77,6 +78,32 @@
         }
     }
 
+    /** The highest token that this process led under. */
+    public long token() {
+        return token;
+    }
+
+    /** A peer says that it leads: when its token is higher, this node was deposed and can't have heard of it. */
+    public void peerLeads(long peerToken) {
+        if (phase == Phase.LEADING && peerToken > token) {
+            stepDown("a peer leads under token " + peerToken);
+        }
+    }
+
+    /**
+     * The leader's process seems to have ended: its lease is ended for it, so that nobody has to wait for it. Should it
+     * live after all, it loses its place and no more: commits are guarded by the epoch, workers go by the token.
+     */
+    public void peerEnded(String name) {
+        if (phase == Phase.FOLLOWING && name.equals(leaderName) && leaderLease != 0) {
+            LOG.info("{} seems to have ended: its lease is ended", name);
+            long ending = leaderLease;
+            leaderLease = 0;
+            store.endGrant(ending, outcome -> {
+            });
+        }
+    }
+
     @Override
     protected long step() {
         if (busy) {
@@ -146,6 +173,7 @@
                 store.endGrant(held.lease(), outcome -> next(outcome == Outcome.OK ? 0 : RETRY_MICROS));
                 return;
             }
+            leaderLease = held.lease();
             follow(name, listing.revision());
         });
     }
--- /dev/null
+++ b/src/main/java/org/weldcourse/peers/PeerNet.java
@@ -0,0 +1,151 @@
+package org.weldcourse.peers;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import java.net.ConnectException;
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
+import org.weldcourse.settings.Settings;
+
+/**
+ * The back channel: each node holds one connection to each other and tells its status on it at a steady beat; what it
+ * hears comes in on the connections that the others hold to it.
+ */
+public final class PeerNet {
+    private static final long BEAT_MICROS = 400_000;
+    private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
+    /** Refusals in a row, after a connection that stood, that speak for an ended process. */
+    private static final int REFUSALS_TO_BELIEVE = 2;
+    private static final long RETRY_MICROS = 150_000;
+
+    private final EventLoop loop;
+    private final Peers peers;
+
+    public PeerNet(EventLoop loop, Peers peers) {
+        this.loop = loop;
+        this.peers = peers;
+    }
+
+    public void listen(String address) throws InterruptedException {
+        int colon = address.lastIndexOf(':');
+        new ServerBootstrap()
+                .group(loop)
+                .channel(NioServerSocketChannel.class)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline().addLast(new Listener());
+                    }
+                })
+                .bind(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))
+                .sync();
+    }
+
+    public void speakTo(Settings.Peer peer) {
+        loop.execute(new Speaker(peer)::connect);
+    }
+
+    /** The routine of a connection that a peer holds to this node. */
+    private final class Listener extends SimpleChannelInboundHandler<ByteBuf> {
+        private final ByteBuffer gathered = ByteBuffer.allocate(2 * PeerStatus.MOST_BYTES);
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) throws PeerStatus.BadFrame {
+            while (bytes.isReadable()) {
+                gathered.limit(Math.min(gathered.capacity(), gathered.position() + bytes.readableBytes()));
+                bytes.readBytes(gathered);
+                gathered.flip();
+                for (PeerStatus status = PeerStatus.decode(gathered); status != null;
+                        status = PeerStatus.decode(gathered)) {
+                    peers.heard(status);
+                }
+                gathered.compact();
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+
+    /** The routine that keeps a connection to one peer and speaks on it. */
+    private final class Speaker {
+        private final Settings.Peer peer;
+        private boolean stood;
+        private int refusals;
+
+        Speaker(Settings.Peer peer) {
+            this.peer = peer;
+        }
+
+        void connect() {
+            int colon = peer.address().lastIndexOf(':');
+            ChannelFuture connecting = new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            channel.pipeline().addLast(new Deaf());
+                        }
+                    })
+                    .connect(peer.address().substring(0, colon), Integer.parseInt(peer.address().substring(colon + 1)));
+            connecting.addListener(future -> {
+                if (future.isSuccess()) {
+                    stood = true;
+                    refusals = 0;
+                    connecting.channel().closeFuture().addListener(closed -> again(0));
+                    speak(connecting.channel());
+                    return;
+                }
+                boolean refused = future.cause() instanceof ConnectException
+                        && !(future.cause() instanceof io.netty.channel.ConnectTimeoutException);
+                if (refused && stood && ++refusals == REFUSALS_TO_BELIEVE) {
+                    stood = false;
+                    peers.ended(peer.name());
+                }
+                again(RETRY_MICROS * (stood ? 1 : 4));
+            });
+        }
+
+        private void again(long delayMicros) {
+            loop.schedule(this::connect, delayMicros, TimeUnit.MICROSECONDS);
+        }
+
+        private void speak(Channel channel) {
+            if (channel.isActive()) {
+                channel.writeAndFlush(Unpooled.wrappedBuffer(peers.own().encode()));
+                loop.schedule(() -> speak(channel), BEAT_MICROS, TimeUnit.MICROSECONDS);
+            }
+        }
+    }
+
+    /** Nothing is expected on a connection that this node speaks on. */
+    private static final class Deaf extends SimpleChannelInboundHandler<ByteBuf> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, ByteBuf bytes) {
+            ctx.close();
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            ctx.close();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/peers/Peers.java
@@ -0,0 +1,60 @@
+package org.weldcourse.peers;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.weldcourse.runtime.Clock;
+
+/** What this node knows of the others by their own word, and what it says of itself. */
+public final class Peers {
+    /** A word older than this counts for nothing. */
+    private static final long FRESH_MICROS = 2_000_000;
+
+    private final Clock clock;
+    private final Node node;
+    private final Map<String, Heard> heard = new HashMap<>();
+
+    private record Heard(PeerStatus status, long atMicros) {
+    }
+
+    /** The node that speaks and listens. */
+    public interface Node {
+        PeerStatus status();
+
+        /** A peer leads under this token. */
+        void peerLeads(String name, long token);
+
+        /** A peer that was there closed its connection and refuses new ones: its process ended, most likely. */
+        void peerEnded(String name);
+    }
+
+    public Peers(Clock clock, Node node) {
+        this.clock = clock;
+        this.node = node;
+    }
+
+    public PeerStatus own() {
+        return node.status();
+    }
+
+    public void heard(PeerStatus status) {
+        heard.put(status.name(), new Heard(status, clock.nowMicros()));
+        if (status.leads()) {
+            node.peerLeads(status.name(), status.token());
+        }
+    }
+
+    public void ended(String name) {
+        heard.remove(name);
+        node.peerEnded(name);
+    }
+
+    /** Whether another node was served by the state service a moment ago. */
+    public boolean othersReachStore() {
+        for (Heard one : heard.values()) {
+            if (one.status.reachesStore() && clock.nowMicros() - one.atMicros < FRESH_MICROS) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/weldcourse/peers/PeersTest.java
@@ -0,0 +1,83 @@
+package org.weldcourse.peers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.ByteBuffer;
+import org.junit.jupiter.api.Test;
+import org.weldcourse.rehearsal.World;
+
+class PeersTest {
+    @Test
+    void framesReadBackWholeOrNotAtAll() throws Exception {
+        PeerStatus status = new PeerStatus("node-1", 42, true, false);
+        ByteBuffer frame = status.encode();
+        byte[] bytes = new byte[frame.remaining()];
+        frame.get(bytes);
+        for (int cut = 0; cut < bytes.length; cut++) {
+            assertNull(PeerStatus.decode(ByteBuffer.wrap(bytes, 0, cut)));
+        }
+        assertEquals(status, PeerStatus.decode(ByteBuffer.wrap(bytes)));
+        bytes[2] = 9;
+        assertThrows(PeerStatus.BadFrame.class, () -> PeerStatus.decode(ByteBuffer.wrap(bytes)));
+        assertThrows(PeerStatus.BadFrame.class, () -> PeerStatus.decode(ByteBuffer.wrap(new byte[] {127, 0})));
+    }
+
+    @Test
+    void followersNeedNotWaitForTheLeaseOfAnEndedLeader() {
+        World world = new World(3);
+        world.time.passSeconds(2);
+        String old = world.leader();
+        world.killNode(old);
+        for (String node : new String[] {"n0", "n1", "n2"}) {
+            if (!node.equals(old)) {
+                world.controller(node).peers().ended(old);
+            }
+        }
+        world.time.passSeconds(0.5);
+        assertNotNull(world.leader());
+    }
+
+    @Test
+    void leaderThatIsAliveLosesItsPlaceAndNothingElse() {
+        World world = new World(3);
+        world.time.passSeconds(2);
+        world.runMicros.put("req-000001", 30_000_000L);
+        world.submit("n0", World.jobBody("req-000001"));
+        assertTrue(world.reaches("n0", "req-000001", "running", 60));
+        String old = world.leader();
+        String other = old.equals("n0") ? "n1" : "n0";
+        world.controller(other).peers().ended(old);
+        assertTrue(world.reaches("n2", "req-000001", "done", 90));
+        assertTrue(world.starts.values().stream().allMatch(count -> count == 1), world.starts.toString());
+    }
+
+    @Test
+    void deposedLeaderYieldsOnAPeersWordAlone() {
+        World world = new World(3);
+        world.time.passSeconds(2);
+        String old = world.leader();
+        world.cutFromState(old);
+        world.controller(old).peers().heard(new PeerStatus("nx", 99, true, true));
+        assertFalse(world.controller(old).leads());
+    }
+
+    @Test
+    void nodeThatAloneIsRefusedSendsUsersElsewhere() {
+        World world = new World(3);
+        world.time.passSeconds(2);
+        world.cutFromState("n0");
+        world.time.passSeconds(8);
+        assertEquals(200, world.ask("n0", "GET", "/ready", new byte[0]).status());
+        world.controller("n0").peers().heard(new PeerStatus("n1", 0, false, true));
+        assertEquals(503, world.ask("n0", "GET", "/ready", new byte[0]).status());
+        world.healToState("n0");
+        world.time.passSeconds(3);
+        world.controller("n0").peers().heard(new PeerStatus("n1", 0, false, true));
+        assertEquals(200, world.ask("n0", "GET", "/ready", new byte[0]).status());
+    }
+}
