--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -301,7 +301,7 @@
             admit(nowMicros);
         }
         direct();
-        if (nowMicros >= nextStatusMicros) {
+        if (nowMicros >= nextStatusMicros && !(board.jobs.isEmpty() && board.machines.isEmpty())) {
             nextStatusMicros = nowMicros + STATUS_MICROS;
             LOG.info("token {}: {}", token, status());
         }
--- a/src/main/java/org/weldcourse/app/Controller.java
+++ b/src/main/java/org/weldcourse/app/Controller.java
@@ -1,6 +1,8 @@
 package org.weldcourse.app;
 
 import java.util.Map;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.weldcourse.admission.Term;
 import org.weldcourse.fleet.Cloud;
 import org.weldcourse.fleet.TypesDuty;
@@ -14,6 +16,7 @@
 import org.weldcourse.peers.PeerStatus;
 import org.weldcourse.peers.Peers;
 import org.weldcourse.runtime.Clock;
+import org.weldcourse.runtime.Duty;
 import org.weldcourse.runtime.Timers;
 import org.weldcourse.settings.Settings;
 import org.weldcourse.settings.Tuning;
@@ -23,6 +26,8 @@
 
 /** One controller: wires the slices together and routes requests to them. All of it runs on one event loop. */
 public final class Controller implements Server.Handler, Leadership.Listener, Peers.Node {
+    private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+    private static final long STATUS_MICROS = 30_000_000;
     private static final long UNREADY_AFTER_MICROS = 1_000_000;
     private static final String JOBS = "/v1/jobs";
 
@@ -34,6 +39,7 @@
     private final Store store;
     private final Clock clock;
     private final Peers peers;
+    private final StatusDuty status;
     private Term term;
 
     public Controller(Settings settings, Tuning tuning, Caller caller, Clock clock, Timers timers) {
@@ -46,12 +52,14 @@
                 new Leadership(settings.nodeName(), store, clock, timers, tuning.stateLeaseMicros(), this);
         this.types = new TypesDuty(store, cloud, clock, timers, leadership::leads);
         this.jobs = new JobApi(store, settings, clock, types::known);
+        this.status = new StatusDuty(timers);
         this.parts = new Term.Parts(store, cloud, caller, clock, timers, settings, tuning, leadership, types);
     }
 
     public void start() {
         leadership.start();
         types.start();
+        status.start();
     }
 
     /** Ends every routine in turn: what leads first, then what leadership and users rest on. */
@@ -59,6 +67,22 @@
         deposed();
         leadership.cancel();
         types.cancel();
+        status.cancel();
+    }
+
+    /** Tells operators every now and then how users are served here, when there were any. */
+    private final class StatusDuty extends Duty {
+        StatusDuty(Timers timers) {
+            super("status", Controller.this.clock, timers);
+        }
+
+        @Override
+        protected long step() {
+            if (!jobs.traffic().isEmpty()) {
+                LOG.info("{}", jobs.traffic().take());
+            }
+            return STATUS_MICROS;
+        }
     }
 
     public Peers peers() {
--- a/src/main/java/org/weldcourse/jobs/JobApi.java
+++ b/src/main/java/org/weldcourse/jobs/JobApi.java
@@ -31,6 +31,7 @@
     private final Types types;
     private final Cache<String, Map<String, Object>> finals =
             Caffeine.newBuilder().maximumSize(4_000).executor(Runnable::run).build();
+    private final Traffic traffic = new Traffic();
     private int inFlight;
 
     /** The machine types as last heard; empty while they are unknown. */
@@ -45,6 +46,11 @@
         this.types = types;
     }
 
+    /** What users' requests came to since this was last asked. */
+    public Traffic traffic() {
+        return traffic;
+    }
+
     public void submit(byte[] body, Reply reply) {
         JobSpec spec;
         try {
@@ -216,12 +222,15 @@
     /** Bounds the requests that wait on the state service; past the bound the user is told when to come back. */
     private Reply admit(Reply reply) {
         if (inFlight >= MOST_IN_FLIGHT) {
+            traffic.answered(429, 0);
             reply.refuse(429, "too many requests at once", 1);
             return null;
         }
         inFlight++;
+        long sinceMicros = clock.nowMicros();
         return (status, body, retryAfterSeconds) -> {
             inFlight--;
+            traffic.answered(status, clock.nowMicros() - sinceMicros);
             reply.send(status, body, retryAfterSeconds);
         };
     }
