--- a/src/main/java/org/weldcourse/fleet/FleetKeeper.java
+++ b/src/main/java/org/weldcourse/fleet/FleetKeeper.java
@@ -31,6 +31,8 @@
     /** A machine is charged for this long at least, with a little less so that it goes before the next second. */
     private static final long LEAST_CHARGED_MICROS = 58_000_000;
     private static final double LOAD_MEMORY_MICROS = 60e6;
+    private static final long TAKEN_MARGIN_MICROS = 1_000_000;
+    private static final double SPOT_PATIENCE = 0.6;
     private static final int MOST_PER_REQUEST = 50;
     private static final int MOST_NEW_AT_ONCE = 30;
     private static final int JOBS_TO_BLAME_MACHINE = 2;
@@ -373,10 +375,20 @@
             return hopeless(machine, nowMicros) && waitedMicros > settings.workers().leaseMicros() ? "never came up"
                     : null;
         }
-        if (nowMicros - machine.heardMicros > (hearsMost ? 1 : 2) * silenceMicros()) {
-            return "silent";
+        long silentMicros = nowMicros - machine.heardMicros;
+        if (machine.takenBackAtMicros != Long.MAX_VALUE) {
+            // Announced and come to pass: its tasks need not hold their places for as long as in doubt.
+            boolean due = nowMicros > machine.takenBackAtMicros + TAKEN_MARGIN_MICROS;
+            if (due && silentMicros > 2 * settings.workers().reportMicros()) {
+                return "taken back";
+            }
+            if (machine.bookings.isEmpty() && machine.strangers.isEmpty()) {
+                return "to be taken back, and empty";
+            }
         }
-        return null;
+        // A spot machine that falls silent was most likely taken; an ordinary one may be cut off and working.
+        double patience = (hearsMost ? 1 : 2) * (machine.spot ? SPOT_PATIENCE : 1);
+        return silentMicros > patience * silenceMicros() ? "silent" : null;
     }
 
     /** When most machines fall silent together, the fault is on this side: their tasks may well be running. */
--- a/src/test/java/org/weldcourse/app/ServiceTest.java
+++ b/src/test/java/org/weldcourse/app/ServiceTest.java
@@ -324,6 +324,22 @@
         assertTrue(world.reaches("n0", "req-000023", "done", 120));
     }
 
+    @Test
+    void machineTakenAsAnnouncedFreesItsTasksAtOnce() {
+        World world = settled(1);
+        world.runMicros.put("req-000037", 20_000_000L);
+        world.submit("n0", jobBody("req-000037", "beads", 1, "expected_s", 1.0));
+        assertTrue(world.reaches("n0", "req-000037", "running", 60));
+        world.time.passSeconds(2);
+        FakeWorker worker = world.whereIs("req-000037/0");
+        worker.notice(5_000_000);
+        world.time.passSeconds(5);
+        worker.freeze(true);
+        world.time.passSeconds(4);
+        assertTrue(world.cloud.released.contains(worker.machine().name()));
+        assertTrue(world.reaches("n0", "req-000037", "done", 60));
+    }
+
     @Test
     void urgentGangDisplacesIdleWork() {
         World world = settled(1);
