A finished task kept listed as a bell brings starts forward

Cause: a gang on an idle machine waits for the worker's next regular report, since run travels only in answers to reports. Forgetting a finished task is a change that the worker reports at once, and harmless late. Ruled out: run through /orders (may come late).

--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -526,6 +526,10 @@
                 continue;
             }
             List<Order> orders = new ArrayList<>(reconciler.forgets(machine));
+            Order bell = reconciler.bell(machine);
+            if (bell != null) {
+                orders.add(bell);
+            }
             for (Booking booking : machine.bookings.values()) {
                 if (booking.stop && booking.seen && !booking.haltSent) {
                     booking.haltSent = true;
--- a/src/main/java/org/weldcourse/workers/Reconciler.java
+++ b/src/main/java/org/weldcourse/workers/Reconciler.java
@@ -200,8 +200,31 @@
         return canSave && booking.running();
     }
 
-    /** Exits that are on record, so that no leader will ever run these attempts again. */
+    /**
+     * Exits that are on record, so that no leader will ever run these attempts again. The last one is kept back as a
+     * bell: forgetting it is a change that makes the worker report at once, and only a report can be answered with
+     * {@code run}.
+     */
     public List<Order> forgets(Machine machine) {
+        List<Order> orders = forgettable(machine);
+        if (orders.size() == machine.exited.size() && !orders.isEmpty()) {
+            orders.remove(orders.size() - 1);
+        }
+        return orders;
+    }
+
+    /** The order that rings the bell, or null when the machine has none or nothing waits to be run there. */
+    public Order bell(Machine machine) {
+        for (Booking booking : machine.bookings.values()) {
+            if (booking.persisted && !booking.seen && !booking.runSent && !booking.stop) {
+                List<Order> orders = forgettable(machine);
+                return orders.isEmpty() ? null : orders.get(orders.size() - 1);
+            }
+        }
+        return null;
+    }
+
+    private List<Order> forgettable(Machine machine) {
         List<Order> orders = new ArrayList<>();
         for (Report.Task task : machine.exited) {
             Job job = board.jobs.get(task.name().job());
--- a/src/test/java/org/weldcourse/rehearsal/FakeWorker.java
+++ b/src/test/java/org/weldcourse/rehearsal/FakeWorker.java
@@ -86,6 +86,10 @@
         return present;
     }
 
+    public long lastReportMicros() {
+        return lastSentMicros;
+    }
+
     public int listed() {
         return beads.size();
     }
