A job whose record changed under a write is read again, not tried for ever

Cause: found by reading the code. When the watch lags behind a job's end, its creation told late made a ghost whose admission was refused and tried again in every cycle. Ruled out: dropping it on the first refusal, since a cancellation looks the same. Test: jobWhoseRecordIsGoneIsDroppedInsteadOfTriedForEver.

--- a/src/main/java/org/weldcourse/admission/Job.java
+++ b/src/main/java/org/weldcourse/admission/Job.java
@@ -30,7 +30,8 @@
     public boolean savingDone;
     public boolean closing;
     public boolean closed;
-    public boolean evicting;
+    /** Its record is being read again; until then nothing is decided about it. */
+    public boolean stale;
 
     public Job(JobSpec spec, long version, long acceptedMicros) {
         this.spec = spec;
@@ -58,7 +59,7 @@
 
     /** A gang may only be booked anew once nothing of its last attempt is left anywhere. */
     public boolean canBeBooked(long nowMicros) {
-        return !cancelled && !closing && !closed && !pending.isEmpty() && nowMicros >= notBeforeMicros
+        return !cancelled && !closing && !closed && !stale && !pending.isEmpty() && nowMicros >= notBeforeMicros
                 && (!spec.gang() || bookings.isEmpty());
     }
 }
--- a/src/main/java/org/weldcourse/admission/Recorder.java
+++ b/src/main/java/org/weldcourse/admission/Recorder.java
@@ -40,6 +40,9 @@
         /** Something is on record that workers or the next cycle may act on. */
         void recorded(Job job);
 
+        /** The job's record is not of the revision that was thought: it has to be read again. */
+        void stale(Job job);
+
         /** A guard on the epoch failed: another leader was elected. */
         void outdated();
     }
@@ -113,6 +116,7 @@
             } else {
                 job.keys.removeAll(keys);
                 then.accept(false);
+                events.stale(job);
             }
         });
     }
@@ -130,6 +134,7 @@
             } else if (read.outcome() == Outcome.NO) {
                 job.keys.removeAll(keys);
                 then.accept(false);
+                events.stale(job);
             } else {
                 timers.after(250_000, () -> readBack(key, job, keys, then));
             }
@@ -162,8 +167,10 @@
             job.savingDone = false;
             if (commit.outcome() == Outcome.OK) {
                 job.savedDone.or(saving);
+                events.recorded(job);
+            } else {
+                events.stale(job);
             }
-            events.recorded(job);
         });
     }
 
@@ -202,9 +209,8 @@
             } else if (unclear) {
                 confirmClosed(job, state, rest);
             } else {
-                // Its user cancelled it meanwhile: the watch brings the new revision.
                 job.closing = false;
-                events.recorded(job);
+                events.stale(job);
             }
         });
     }
@@ -221,7 +227,7 @@
                 closed(job, state, rest);
             } else if (read.outcome() == Outcome.NO) {
                 job.closing = false;
-                events.recorded(job);
+                events.stale(job);
             } else {
                 timers.after(250_000, () -> confirmClosed(job, state, rest));
             }
--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -85,6 +85,11 @@
                         wakeIn(0);
                     }
 
+                    @Override
+                    public void stale(Job job) {
+                        refresh(job);
+                    }
+
                     @Override
                     public void outdated() {
                         parts.leadership().doubt();
@@ -227,6 +232,39 @@
         });
     }
 
+    /**
+     * A write was refused because the job's record is not what it was. The watch may lag, or may have told of a job
+     * that is over by now: without reading it again the same write would be tried for ever.
+     */
+    private void refresh(Job job) {
+        if (job.stale || job.closed) {
+            return;
+        }
+        job.stale = true;
+        readJob(job);
+    }
+
+    private void readJob(Job job) {
+        if (!isRunning()) {
+            return;
+        }
+        String key = Keys.open(job.spec.id());
+        parts.store().get(key, read -> {
+            if (read.outcome() == Outcome.OK) {
+                jobWritten(key, read.entry().value(), read.entry().version());
+            } else if (read.outcome() == Outcome.NO) {
+                LOG.info("{}: over already", job.spec.id());
+                job.closed = true;
+                board.evict(job, 0);
+            } else {
+                parts.timers().after(RETRY_MICROS, () -> readJob(job));
+                return;
+            }
+            job.stale = false;
+            wakeIn(SOON_MICROS);
+        });
+    }
+
     private void jobWritten(String key, Map<String, Object> value, long version) {
         String id = Keys.jobOf(key);
         Job job = board.jobs.get(id);
@@ -332,6 +370,9 @@
             board.jobs.remove(job.spec.id());
             return;
         }
+        if (job.stale) {
+            return;
+        }
         if (job.allDone()) {
             recorder.close(job);
         } else if (job.cancelled) {
--- a/src/main/java/org/weldcourse/http/NettyCaller.java
+++ b/src/main/java/org/weldcourse/http/NettyCaller.java
@@ -46,7 +46,7 @@
             return;
         }
         Line fresh = new Line(call.address());
-        int colon = call.address().lastIndexOf(':');
+        HostPort to = HostPort.of(call.address());
         ChannelFuture connecting = new Bootstrap()
                 .group(loop)
                 .channel(NioSocketChannel.class)
@@ -61,7 +61,7 @@
                                 .addLast(fresh);
                     }
                 })
-                .connect(call.address().substring(0, colon), Integer.parseInt(call.address().substring(colon + 1)));
+                .connect(to.host(), to.port());
         exchange.channel = connecting.channel();
         connecting.addListener(future -> {
             if (!future.isSuccess()) {
--- a/src/main/java/org/weldcourse/http/Server.java
+++ b/src/main/java/org/weldcourse/http/Server.java
@@ -63,7 +63,7 @@
     }
 
     public void listen(String address) throws InterruptedException {
-        int colon = address.lastIndexOf(':');
+        HostPort at = HostPort.of(address);
         new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
@@ -85,7 +85,7 @@
                                 .addLast(new Connection());
                     }
                 })
-                .bind(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))
+                .bind(at.host(), at.port())
                 .sync();
     }
 
--- a/src/main/java/org/weldcourse/peers/PeerNet.java
+++ b/src/main/java/org/weldcourse/peers/PeerNet.java
@@ -16,6 +16,7 @@
 import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
+import org.weldcourse.http.HostPort;
 import org.weldcourse.settings.Settings;
 
 /**
@@ -38,7 +39,7 @@
     }
 
     public void listen(String address) throws InterruptedException {
-        int colon = address.lastIndexOf(':');
+        HostPort at = HostPort.of(address);
         new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
@@ -50,7 +51,7 @@
                         channel.pipeline().addLast(new Listener());
                     }
                 })
-                .bind(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)))
+                .bind(at.host(), at.port())
                 .sync();
     }
 
@@ -93,7 +94,7 @@
         }
 
         void connect() {
-            int colon = peer.address().lastIndexOf(':');
+            HostPort to = HostPort.of(peer.address());
             ChannelFuture connecting = new Bootstrap()
                     .group(loop)
                     .channel(NioSocketChannel.class)
@@ -105,7 +106,7 @@
                             channel.pipeline().addLast(new Deaf());
                         }
                     })
-                    .connect(peer.address().substring(0, colon), Integer.parseInt(peer.address().substring(colon + 1)));
+                    .connect(to.host(), to.port());
             connecting.addListener(future -> {
                 if (future.isSuccess()) {
                     stood = true;
--- a/src/test/java/org/weldcourse/app/ServiceTest.java
+++ b/src/test/java/org/weldcourse/app/ServiceTest.java
@@ -484,6 +484,22 @@
         assertNotNull(world.whereIs("req-000039/0"));
     }
 
+    @Test
+    void jobWhoseRecordIsGoneIsDroppedInsteadOfTriedForEver() {
+        World world = settled(1);
+        world.cloud.capacity = 0;
+        world.submit("n0", jobBody("req-000040"));
+        world.time.passSeconds(2);
+        world.state.removeSilently("open/req-000040");
+        int writes = world.state.writes();
+        world.cloud.capacity = 100;
+        world.cloud.unexpected("large", "a", false);
+        world.time.passSeconds(60);
+        assertEquals(0, world.runningTasks());
+        assertTrue(world.state.writes() - writes <= 10, "writes: " + (world.state.writes() - writes));
+        assertEquals(0, world.starts.size());
+    }
+
     @Test
     void followersSendWorkersToTheLeader() {
         World world = settled(3);
--- a/src/test/java/org/weldcourse/rehearsal/FakeState.java
+++ b/src/test/java/org/weldcourse/rehearsal/FakeState.java
@@ -60,6 +60,11 @@
         return keys;
     }
 
+    /** Takes a key away without a word to any watch. */
+    public void removeSilently(String key) {
+        values.remove(key);
+    }
+
     public int writes() {
         return writes;
     }
