--- a/src/main/java/org/weldcourse/admission/Board.java
+++ b/src/main/java/org/weldcourse/admission/Board.java
@@ -104,7 +104,7 @@
         free(booking, nowMicros);
     }
 
-    /** Notes what a report shows to be on the machine and returns nothing that is older than it. */
+    /** Notes what a report shows to be on the machine, in place of what the one before it showed. */
     public void seen(Machine machine, List<Report.Task> tasks) {
         present.values().removeIf(where -> where == machine);
         for (Report.Task task : tasks) {
--- a/src/main/java/org/weldcourse/admission/Machine.java
+++ b/src/main/java/org/weldcourse/admission/Machine.java
@@ -79,8 +79,4 @@
     public Set<String> images() {
         return images.keySet();
     }
-
-    public void forgetImages() {
-        images.clear();
-    }
 }
--- a/src/main/java/org/weldcourse/admission/Planner.java
+++ b/src/main/java/org/weldcourse/admission/Planner.java
@@ -273,9 +273,10 @@
             }
             // First what the team may claim as its own; beyond that only rank counts.
             int claim = usage.underGuarantee(job.spec());
-            Offer offer = offerWithVictims(job, usage, room, claim > 0 ? Math.min(claim, most) : most, 0);
+            int wish = claim > 0 ? Math.min(claim, most) : most;
+            Offer offer = offerWithVictims(job, usage, room, wish, 0);
             if (offer != null) {
-                int take = Math.min(claim > 0 ? Math.min(claim, most) : most, offer.tasks);
+                int take = Math.min(wish, offer.tasks);
                 usage.take(job.spec(), take);
                 offer.victims.forEach(victim -> stop(room, victim));
                 counts.put(room, take);
--- a/src/main/java/org/weldcourse/admission/Recorder.java
+++ b/src/main/java/org/weldcourse/admission/Recorder.java
@@ -90,7 +90,7 @@
     }
 
     public boolean mayWriteInBackground() {
-        return pacer.tryTake(0) && pacer.tryTake(1);
+        return pacer.tryTake(1);
     }
 
     public interface Admitted {
--- a/src/main/java/org/weldcourse/fleet/TypesDuty.java
+++ b/src/main/java/org/weldcourse/fleet/TypesDuty.java
@@ -63,10 +63,7 @@
     }
 
     private void recall() {
-        store.get(KEY, read -> {
-            if (read.entry() != null) {
-                types = MachineType.list(read.entry().value());
-            }
+        read(() -> {
             if (types.isEmpty()) {
                 ask();
             } else {
@@ -75,11 +72,20 @@
         });
     }
 
+    private void read(Runnable then) {
+        store.get(KEY, read -> {
+            if (read.entry() != null) {
+                types = MachineType.list(read.entry().value());
+            }
+            then.run();
+        });
+    }
+
     private void ask() {
         cloud.types(body -> {
             if (body == null) {
                 if (types.isEmpty() && leads.get()) {
-                    recallOnce();
+                    read(() -> next(RETRY_MICROS));
                 } else {
                     next(RETRY_MICROS);
                 }
@@ -91,15 +97,6 @@
         });
     }
 
-    private void recallOnce() {
-        store.get(KEY, read -> {
-            if (read.entry() != null) {
-                types = MachineType.list(read.entry().value());
-            }
-            next(RETRY_MICROS);
-        });
-    }
-
     /** Only nodes without a record and the leader ask the cloud, so this is seldom written. */
     private void remember(Map<String, Object> body) {
         store.commit(new Txn().put(KEY, body), commit -> {
--- a/src/main/java/org/weldcourse/peers/PeerNet.java
+++ b/src/main/java/org/weldcourse/peers/PeerNet.java
@@ -9,6 +9,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
@@ -116,7 +117,7 @@
                     return;
                 }
                 boolean refused = future.cause() instanceof ConnectException
-                        && !(future.cause() instanceof io.netty.channel.ConnectTimeoutException);
+                        && !(future.cause() instanceof ConnectTimeoutException);
                 if (refused && stood && ++refusals == REFUSALS_TO_BELIEVE) {
                     stood = false;
                     peers.ended(peer.name());
--- a/src/main/java/org/weldcourse/store/Store.java
+++ b/src/main/java/org/weldcourse/store/Store.java
@@ -15,7 +15,6 @@
     private final Caller caller;
     private final Clock clock;
     private final String address;
-    private long lastServedMicros = Long.MIN_VALUE / 2;
     private long failingSinceMicros = -1;
 
     public Store(Caller caller, Clock clock, String address) {
@@ -62,11 +61,6 @@
     public record Events(Outcome outcome, List<Event> events, long revision) {
     }
 
-    /** When the service last answered a request of ours with anything but a refusal. */
-    public long lastServedMicros() {
-        return lastServedMicros;
-    }
-
     /** Since when nothing but failures came, or -1 while it serves us. */
     public long failingSinceMicros() {
         return failingSinceMicros;
@@ -152,7 +146,6 @@
         caller.call(new Caller.Call(address, method, path, body, timeoutMicros), answer -> {
             int status = answer.status();
             if (status > 0 && status != 503) {
-                lastServedMicros = clock.nowMicros();
                 failingSinceMicros = -1;
             } else if (failingSinceMicros < 0) {
                 failingSinceMicros = clock.nowMicros();
--- a/src/main/java/org/weldcourse/workers/Reconciler.java
+++ b/src/main/java/org/weldcourse/workers/Reconciler.java
@@ -59,7 +59,6 @@
             changed = true;
         }
         if (newSession) {
-            // The images outlive a session, the tasks don't.
             LOG.debug("{} session {}", machine.name, machine.session);
         }
         board.seen(machine, report.tasks());
--- a/src/test/java/org/weldcourse/rehearsal/World.java
+++ b/src/test/java/org/weldcourse/rehearsal/World.java
@@ -81,18 +81,10 @@
         net.heal(name, STATE);
     }
 
-    public void cutFromCloud(String name) {
-        net.cut(name, CLOUD);
-    }
-
     public void cutFromWorkers(String name) {
         workers.keySet().forEach(machine -> net.cut(machine, addressByName.get(name)));
     }
 
-    public void healToWorkers(String name) {
-        workers.keySet().forEach(machine -> net.heal(machine, addressByName.get(name)));
-    }
-
     public void loseAnswers(String name, boolean lose) {
         net.loseAnswers(name, lose);
     }
