--- a/src/main/java/org/weldcourse/fleet/FleetPlanner.java
+++ b/src/main/java/org/weldcourse/fleet/FleetPlanner.java
@@ -130,8 +130,14 @@
                 bestCost = cost;
             }
         }
-        if (best != null && bestCost > 0) {
+        if (best == null) {
+            return;
+        }
+        if (bestCost > 0) {
             rentForGang(need, best, supplies, types, refused, mostMachines, nowMicros, chosen);
+        } else {
+            // What is on its way suffices, but it is spoken for now: the next gang must not count on it too.
+            takeSlots(need, best, need.tasks() - need.freeByZone().getOrDefault(best, 0), supplies);
         }
     }
 
@@ -153,12 +159,7 @@
 
     private static void rentForGang(Need need, String zone, List<Supply> supplies, List<MachineType> types,
             Set<Offer> refused, int mostMachines, long nowMicros, List<Offer> chosen) {
-        int left = need.tasks();
-        for (Supply supply : supplies) {
-            if (zone == null || zone.equals(supply.host.zone())) {
-                left -= takeSlots(supply, need, left);
-            }
-        }
+        int left = takeSlots(need, zone, need.tasks(), supplies);
         while (left > 0 && chosen.size() < mostMachines) {
             Choice best = best(need, zone, types, refused, Long.MAX_VALUE, nowMicros);
             if (best == null) {
@@ -171,6 +172,17 @@
         }
     }
 
+    /** Takes places on what is there already, and returns how many are still missing. */
+    private static int takeSlots(Need need, String zone, int wanted, List<Supply> supplies) {
+        int left = wanted;
+        for (Supply supply : supplies) {
+            if (zone == null || zone.equals(supply.host.zone())) {
+                left -= takeSlots(supply, need, left);
+            }
+        }
+        return left;
+    }
+
     private static int takeSlots(Supply supply, Need need, int wanted) {
         int taken = Math.min(wanted, supply.slots(need));
         if (taken <= 0) {
--- a/src/test/java/org/weldcourse/fleet/FleetPlannerTest.java
+++ b/src/test/java/org/weldcourse/fleet/FleetPlannerTest.java
@@ -72,4 +72,14 @@
         assertEquals(1, FleetPlanner.plan(List.of(first, small, small, small, small), hosts, List.of(LARGE), Set.of(),
                 30, 0).get(0).count());
     }
+
+    @Test
+    void aGangDoesNotCountOnWhatAnotherWaitsFor() throws Exception {
+        Need gang = new Need(job("shape", "ensemble", "beads", 3, "cpus", 16.0, "together", true), 3, 60 * SECOND,
+                60 * SECOND);
+        Host booting = new Host(LARGE, "a", true, true, 10 * SECOND, 0, 0);
+        List<Host> hosts = List.of(booting, booting, booting);
+        assertEquals(0, FleetPlanner.plan(List.of(gang), hosts, List.of(LARGE), Set.of(), 30, 0).size());
+        assertEquals(3, FleetPlanner.plan(List.of(gang, gang), hosts, List.of(LARGE), Set.of(), 30, 0).get(0).count());
+    }
 }
