--- a/src/main/java/org/weldcourse/admission/Planner.java
+++ b/src/main/java/org/weldcourse/admission/Planner.java
@@ -1,5 +1,6 @@
 package org.weldcourse.admission;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
@@ -49,6 +50,8 @@
     private final Set<String> held = new HashSet<>();
     /** The smallest gangs of their shape that found no places in this cycle. */
     private final Map<Shape, Integer> unplaceable = new HashMap<>();
+    /** Arrays that found all room taken, by kind: their like that need as much or more find none in this cycle either. */
+    private final Map<Kind, List<JobSpec>> withoutRoom = new HashMap<>();
     /** The shapes for which every machine is held already: in a burst hundreds of gangs need not look at each. */
     private final Set<Shape> exhausted = new HashSet<>();
     private final Bounds bounds;
@@ -81,23 +84,27 @@
     /** The room of a machine as bookings go on. */
     private static final class Room {
         final MachineView machine;
+        final double pricePerCpu;
+        /** Price per CPU in coarse steps: spot prices wander, and a small difference decides nothing. */
+        final int priceStep;
         double cpus;
         double gpus;
         double memoryGb;
+        /** Whether it holds the image of the job that looks for room just now. */
+        boolean holdsImage;
         /** What tasks should leave in a moment: others are booked on it ahead, to run in the answer to the exits. */
         double cpusAhead;
         double gpusAhead;
         double memoryGbAhead;
         /** The gang that it is held for while the rest of that gang's places are found. */
         JobSpec heldFor;
-        final Set<TaskView> victims = Collections.newSetFromMap(new IdentityHashMap<>());
-
-        Room(MachineView machine) {
-            this(machine, Long.MIN_VALUE, 0);
-        }
+        /** Few machines have any in a cycle. */
+        Set<TaskView> victims = Set.of();
 
         Room(MachineView machine, long untilMicros, long nowMicros) {
             this.machine = machine;
+            pricePerCpu = machine.type().price(machine.spot()) / machine.type().cpus();
+            priceStep = pricePerCpu <= 0 ? 0 : (int) Math.round(Math.log(pricePerCpu) / Math.log(1.4));
             cpus = machine.type().cpus() - machine.load().cpus();
             gpus = machine.type().gpus() - machine.load().gpus();
             memoryGb = machine.type().memoryGb() - machine.load().memoryGb();
@@ -111,16 +118,6 @@
             }
         }
 
-        double pricePerCpu() {
-            return machine.type().price(machine.spot()) / machine.type().cpus();
-        }
-
-        /** Price per CPU in coarse steps: spot prices wander, and a small difference decides nothing. */
-        int priceStep() {
-            double price = pricePerCpu();
-            return price <= 0 ? 0 : (int) Math.round(Math.log(price) / Math.log(1.4));
-        }
-
         int fits(JobSpec job) {
             return fits(job, cpus, gpus, memoryGb);
         }
@@ -198,17 +195,18 @@
         for (JobView job : jobs) {
             largest.merge(job.spec().jobClass(), job.spec().tasks(), Math::max);
         }
-        Map<String, List<JobView>> queues = new LinkedHashMap<>();
-        List<JobView> ordered = new ArrayList<>(jobs);
-        ordered.sort(Comparator.comparing((JobView job) -> job.spec().rank()).thenComparing(this::comparePromise)
-                .thenComparing(job -> job.spec().id()));
-        for (JobView job : ordered) {
-            queues.computeIfAbsent(job.spec().team(), team -> new ArrayList<>()).add(job);
+        Map<String, ArrayDeque<Queued>> queues = new LinkedHashMap<>();
+        List<Queued> ordered = new ArrayList<>(jobs.size());
+        jobs.forEach(job -> ordered.add(new Queued(job, promise(job), job.workStep())));
+        ordered.sort(Comparator.comparing((Queued queued) -> queued.job.spec().rank()).thenComparing(Queued::comparePromise)
+                .thenComparing(queued -> queued.job.spec().id()));
+        for (Queued queued : ordered) {
+            queues.computeIfAbsent(queued.job.spec().team(), team -> new ArrayDeque<>()).add(queued);
         }
         while (!queues.isEmpty()) {
-            JobView head = bestHead(queues);
-            List<JobView> queue = queues.get(head.spec().team());
-            queue.remove(0);
+            JobView head = bestHead(queues).job;
+            ArrayDeque<Queued> queue = queues.get(head.spec().team());
+            queue.remove();
             if (queue.isEmpty()) {
                 queues.remove(head.spec().team());
             }
@@ -216,10 +214,10 @@
         }
     }
 
-    private JobView bestHead(Map<String, List<JobView>> queues) {
-        JobView best = null;
-        for (List<JobView> queue : queues.values()) {
-            JobView head = queue.get(0);
+    private Queued bestHead(Map<String, ArrayDeque<Queued>> queues) {
+        Queued best = null;
+        for (ArrayDeque<Queued> queue : queues.values()) {
+            Queued head = queue.element();
             if (best == null || before(head, best)) {
                 best = head;
             }
@@ -227,28 +225,31 @@
         return best;
     }
 
-    private boolean before(JobView a, JobView b) {
-        int byRank = a.spec().rank().compareTo(b.spec().rank());
+    private boolean before(Queued a, Queued b) {
+        int byRank = a.job.spec().rank().compareTo(b.job.spec().rank());
         if (byRank != 0) {
             return byRank < 0;
         }
-        boolean aWithin = within(a);
-        if (aWithin != within(b)) {
+        boolean aWithin = within(a.job);
+        if (aWithin != within(b.job)) {
             return aWithin;
         }
-        return comparePromise(a, b) < 0;
+        return a.comparePromise(b) < 0;
     }
 
-    /**
-     * Of equal ranks: first what has waited for so long that it is owed its start, then what can still keep its class's
-     * aim, the less work before the more since more of it does, then the rest.
-     */
-    private int comparePromise(JobView a, JobView b) {
-        int byPromise = Integer.compare(promise(a), promise(b));
-        if (byPromise == 0 && promise(a) == KEEPS_AIM) {
-            byPromise = Integer.compare(a.workStep(), b.workStep());
+    /** A job in its team's queue, with what its place there follows from: worked out once, compared often. */
+    private record Queued(JobView job, int promise, int workStep) {
+        /**
+         * Of equal ranks: first what has waited for so long that it is owed its start, then what can still keep its
+         * class's aim, the less work before the more since more of it does, then the rest.
+         */
+        int comparePromise(Queued other) {
+            int byPromise = Integer.compare(promise, other.promise);
+            if (byPromise == 0 && promise == KEEPS_AIM) {
+                byPromise = Integer.compare(workStep, other.workStep);
+            }
+            return byPromise != 0 ? byPromise : Long.compare(job.latestStartMicros(), other.job.latestStartMicros());
         }
-        return byPromise != 0 ? byPromise : Long.compare(a.latestStartMicros(), b.latestStartMicros());
     }
 
     private int promise(JobView job) {
@@ -309,6 +310,10 @@
 
     private int placeArray(JobView job, Usage usage, int most) {
         JobSpec spec = job.spec();
+        List<JobSpec> foundNone = withoutRoom.computeIfAbsent(new Kind(spec), kind -> new ArrayList<>());
+        if (foundNone.stream().anyMatch(smaller -> needsNoMoreThan(smaller, spec))) {
+            return 0;
+        }
         Map<String, Integer> zoneCounts = new HashMap<>(job.zoneCounts());
         String onlyZone = null;
         List<Room> allowed = allowedRooms(job);
@@ -322,12 +327,14 @@
                 open.add(room);
             }
         }
-        open.sort(preference(spec));
+        sortByPreference(open, spec);
         Map<Room, Integer> counts = new LinkedHashMap<>();
         int left = most;
+        int keptBack = 0;
         for (boolean ahead : new boolean[] {false, true}) {
             // A job is done with its last task: half of what waits is kept for room that is free for certain.
             int keep = ahead ? (left + 1) / 2 : 0;
+            keptBack = keep;
             for (Room room : open) {
                 String zone = room.machine.zone();
                 if (left <= keep || onlyZone != null && !onlyZone.equals(zone)) {
@@ -345,21 +352,49 @@
         if (most > left) {
             book(job, usage, counts);
         }
+        boolean roomIsGone = left > keptBack;
         if (left > 0) {
             boolean reclaims = reclaims(job, usage);
             allowed.removeIf(room -> !mayYield(job, reclaims, room));
-            allowed.sort(preference(spec));
+            sortByPreference(allowed, spec);
             left -= displaceForArray(job, usage, allowed, onlyZone, zoneCounts, left);
         }
+        if (left > 0 && roomIsGone && !spec.oneZone() && !spec.spread() && job.badMachines().isEmpty()) {
+            foundNone.add(spec);
+        }
         return most - left;
     }
 
-    private static Comparator<Room> preference(JobSpec spec) {
-        return Comparator.comparingInt((Room room) -> room.priceStep())
-                .thenComparing(room -> room.machine.sought())
-                .thenComparing(room -> !room.machine.load().images().contains(spec.image()))
-                .thenComparingDouble(room -> room.cpus)
-                .thenComparing(room -> room.machine.name());
+    /** Whose arrays may go where, and what they may displace: all that decides on their room but their size. */
+    private record Kind(String team, JobSpec.Rank rank, List<String> types, String zone, boolean spot) {
+        Kind(JobSpec spec) {
+            this(spec.team(), spec.rank(), spec.types(), spec.zone(), spec.spot());
+        }
+    }
+
+    private static boolean needsNoMoreThan(JobSpec a, JobSpec b) {
+        return a.cpus() <= b.cpus() && a.gpus() <= b.gpus() && a.memoryGb() <= b.memoryGb();
+    }
+
+    private static void sortByPreference(List<Room> rooms, JobSpec spec) {
+        for (Room room : rooms) {
+            room.holdsImage = room.machine.load().images().contains(spec.image());
+        }
+        rooms.sort(Planner::comparePreference);
+    }
+
+    private static int comparePreference(Room a, Room b) {
+        if (a.priceStep != b.priceStep) {
+            return Integer.compare(a.priceStep, b.priceStep);
+        }
+        if (a.machine.sought() != b.machine.sought()) {
+            return Boolean.compare(a.machine.sought(), b.machine.sought());
+        }
+        if (a.holdsImage != b.holdsImage) {
+            return Boolean.compare(b.holdsImage, a.holdsImage);
+        }
+        int byCpus = Double.compare(a.cpus, b.cpus);
+        return byCpus != 0 ? byCpus : a.machine.name().compareTo(b.machine.name());
     }
 
     /** Whether a look at the machine for work to displace could find any. */
@@ -552,14 +587,14 @@
         boolean reclaims = reclaims(job, usage);
         double cheapest = Double.POSITIVE_INFINITY;
         for (Room room : choice) {
-            cheapest = Math.min(cheapest, room.pricePerCpu());
+            cheapest = Math.min(cheapest, room.pricePerCpu);
         }
         for (Room room : choice) {
             double ownCost = room.machine.load().images().contains(spec.image()) ? 0
                     : spec.imageGb() / Math.max(0.01, room.machine.type().fetchGbPerSecond()) * spec.cpus();
             if (cheapest > 0) {
                 // On a dear machine the whole run costs more; what runs there now had better go to it instead.
-                ownCost += job.expectedMicros() / 1e6 * spec.cpus() * (room.pricePerCpu() / cheapest - 1);
+                ownCost += job.expectedMicros() / 1e6 * spec.cpus() * (room.pricePerCpu / cheapest - 1);
             }
             if (!displace) {
                 if (room.fits(spec) > 0) {
@@ -601,32 +636,31 @@
 
     private Offer offerWithVictims(JobView job, Usage usage, Room room, int tasks, double ownCost) {
         JobSpec spec = job.spec();
-        Room trial = new Room(room.machine);
-        trial.cpus = room.cpus;
-        trial.gpus = room.gpus;
-        trial.memoryGb = room.memoryGb;
-        List<TaskView> chosen = new ArrayList<>();
-        double cost = ownCost;
-        int fits = trial.fits(spec);
-        List<TaskView> candidates = displaceable(job, usage, room);
-        int bestFits = fits;
-        List<TaskView> bestChosen = List.of();
-        double bestCost = cost;
-        for (TaskView victim : candidates) {
-            if (bestFits >= tasks) {
-                break;
-            }
-            trial.take(victim.job(), -1);
-            chosen.add(victim);
-            cost += victim.stopping() ? 0 : (victim.lostMicros(nowMicros) / 1e6 + 1) * victim.job().cpus();
-            fits = trial.fits(spec);
-            if (fits > bestFits) {
-                bestFits = fits;
-                bestChosen = List.copyOf(chosen);
-                bestCost = cost;
+        int bestFits = room.fits(spec);
+        int chosen = 0;
+        double bestCost = ownCost;
+        List<TaskView> candidates = List.of();
+        if (bestFits < tasks) {
+            candidates = displaceable(job, usage, room);
+            double cpus = room.cpus;
+            double gpus = room.gpus;
+            double memoryGb = room.memoryGb;
+            double cost = ownCost;
+            for (int i = 0; i < candidates.size() && bestFits < tasks; i++) {
+                TaskView victim = candidates.get(i);
+                cpus += victim.job().cpus();
+                gpus += victim.job().gpus();
+                memoryGb += victim.job().memoryGb();
+                cost += victim.stopping() ? 0 : (victim.lostMicros(nowMicros) / 1e6 + 1) * victim.job().cpus();
+                int fits = Room.fits(spec, cpus, gpus, memoryGb);
+                if (fits > bestFits) {
+                    bestFits = fits;
+                    chosen = i + 1;
+                    bestCost = cost;
+                }
             }
         }
-        return bestFits == 0 ? null : new Offer(room, bestFits, bestChosen, bestCost);
+        return bestFits == 0 ? null : new Offer(room, bestFits, candidates.subList(0, chosen), bestCost);
     }
 
     /**
@@ -636,18 +670,12 @@
      */
     private List<TaskView> displaceable(JobView job, Usage usage, Room room) {
         boolean reclaims = reclaims(job, usage);
-        List<TaskView> sorted = new ArrayList<>();
-        for (TaskView task : room.machine.load().tasks()) {
-            if (!room.victims.contains(task) && !task.job().id().equals(job.spec().id())) {
-                sorted.add(task);
-            }
-        }
-        sorted.sort(Comparator.comparing((TaskView task) -> !task.stopping())
-                .thenComparing(task -> task.job().rank(), Comparator.reverseOrder())
-                .thenComparingLong(task -> task.lostMicros(nowMicros)));
         List<TaskView> candidates = new ArrayList<>();
         Map<Usage, double[]> taken = new HashMap<>();
-        for (TaskView task : sorted) {
+        for (TaskView task : room.machine.load().tasks()) {
+            if (room.victims.contains(task) || task.job().id().equals(job.spec().id())) {
+                continue;
+            }
             boolean ownTeam = task.job().team().equals(job.spec().team());
             boolean lowerRank = task.job().rank().compareTo(job.spec().rank()) > 0;
             Usage other = usages.get(task.job().team());
@@ -696,6 +724,9 @@
     }
 
     private void stop(Room room, TaskView victim) {
+        if (room.victims.isEmpty()) {
+            room.victims = Collections.newSetFromMap(new IdentityHashMap<>());
+        }
         if (!room.victims.add(victim)) {
             return;
         }
--- a/src/main/java/org/weldcourse/admission/Snapshot.java
+++ b/src/main/java/org/weldcourse/admission/Snapshot.java
@@ -1,6 +1,7 @@
 package org.weldcourse.admission;
 
 import java.util.BitSet;
+import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -12,16 +13,24 @@
 public record Snapshot(long nowMicros, List<MachineView> machines, List<JobView> jobs, List<TeamView> teams) {
     static final long NOT_RUNNING = -1;
 
-    /** What a machine's bookings take of it, and the images that it holds or fetches for them. */
+    /**
+     * What a machine's bookings take of it, and the images that it holds or fetches for them. Its tasks stand in the
+     * order in which they would be displaced: what leaves anyway, then lower ranks, then the least work lost.
+     */
     public record Load(double cpus, double gpus, double memoryGb, Set<String> images, List<TaskView> tasks) {
+        public Load {
+            tasks = tasks.stream().sorted(Comparator.comparing((TaskView task) -> !task.stopping())
+                    .thenComparing(task -> task.job().rank(), Comparator.reverseOrder())
+                    .thenComparingLong(task -> -task.lostSinceMicros())).toList();
+        }
+
         /** Whether a task is on its way out, or of lower rank than this. */
         boolean yieldsTo(JobSpec.Rank rank) {
-            for (TaskView task : tasks) {
-                if (task.stopping() || task.job().rank().compareTo(rank) > 0) {
-                    return true;
-                }
+            if (tasks.isEmpty()) {
+                return false;
             }
-            return false;
+            TaskView first = tasks.get(0);
+            return first.stopping() || first.job().rank().compareTo(rank) > 0;
         }
     }
 
@@ -48,6 +57,11 @@
             return endMicros >= nowMicros && endMicros <= untilMicros;
         }
 
+        /** Since when it has done the work that stopping it would lose; of two, the later loses less. */
+        private long lostSinceMicros() {
+            return !running() ? Long.MAX_VALUE : job.checkpointMicros() > 0 ? Long.MAX_VALUE - 1 : runningSinceMicros;
+        }
+
         /** The work that stopping it would lose. */
         long lostMicros(long nowMicros) {
             return !running() ? 0
--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -67,6 +67,7 @@
     private long nextStatusMicros;
     private long earliestCycleMicros;
     private int waitingByQuota;
+    private int directInFlight;
 
     /** What a term works with; all of it outlives the term. */
     public record Parts(Store store, Cloud cloud, Caller caller, Clock clock, Timers timers, Settings settings,
@@ -621,6 +622,10 @@
      */
     private void direct() {
         for (Machine machine : board.machines.values()) {
+            if (directInFlight >= parts.settings().directSockets()) {
+                // The rest of a wave is told in the next cycle, or with the machines' next reports.
+                return;
+            }
             if (!machine.unsaid || machine.directInFlight || !machine.underToken || machine.released
                     || machine.address == null) {
                 continue;
@@ -644,9 +649,13 @@
                 continue;
             }
             machine.directInFlight = true;
+            directInFlight++;
             parts.caller().call(new Caller.Call(machine.address, "POST", "/orders",
                     CheckinCodec.direct(token, machine.session, orders), DIRECT_TIMEOUT_MICROS),
-                    answer -> machine.directInFlight = false);
+                    answer -> {
+                        machine.directInFlight = false;
+                        directInFlight--;
+                    });
         }
     }
 }
--- a/src/main/java/org/weldcourse/app/Controller.java
+++ b/src/main/java/org/weldcourse/app/Controller.java
@@ -32,6 +32,7 @@
     private static final long PULSE_MICROS = 1_000_000;
     private static final long UNREADY_AFTER_MICROS = 1_000_000;
     private static final String JOBS = "/v1/jobs";
+    private static final String CHECKIN = "/checkin";
 
     private final Settings settings;
     private final Leadership leadership;
@@ -155,11 +156,16 @@
         }
     }
 
+    @Override
+    public boolean isWorkers(Request request) {
+        return request.path().equals(CHECKIN);
+    }
+
     @Override
     public void handle(Request request, Reply reply) {
         String path = request.path();
         boolean post = request.method().equals("POST");
-        if (path.equals("/checkin") && post) {
+        if (path.equals(CHECKIN) && post) {
             checkin(request, reply);
         } else if (path.equals("/ready")) {
             ready(reply);
--- a/src/main/java/org/weldcourse/app/Node.java
+++ b/src/main/java/org/weldcourse/app/Node.java
@@ -15,26 +15,38 @@
 /** A controller on a real network: one event loop, one listener. */
 public final class Node {
     private static final Logger LOG = LoggerFactory.getLogger(Node.class);
-    /** The part of the sockets that the platform grants which is kept back for the node's own calls. */
-    private static final double OWN_SOCKETS = 0.25;
-    /** And the part that such calls may leave open for the next ones. */
-    private static final double IDLE_SOCKETS = 0.08;
+    /** Of what others may open, the part that workers can't use up. */
+    private static final double FOR_USERS = 0.15;
+    /** Reports without a word after which a connection may have to make room, should there be none. */
+    private static final int REPORTS_OF_PATIENCE = 3;
+    /** Leases without a word after which a connection is closed. */
+    private static final int LEASES_OF_SILENCE = 2;
 
     private final Settings settings;
     private final EventLoop eventLoop;
     private final Controller controller;
+    private final Server server;
 
     public Node(Settings settings, Tuning tuning) {
         this.settings = settings;
         this.eventLoop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         Loop loop = new Loop(eventLoop);
-        this.controller = new Controller(settings, tuning, new NettyCaller(eventLoop,
-                (int) (settings.maxSockets() * IDLE_SOCKETS)), loop, loop);
+        NettyCaller caller = new NettyCaller(eventLoop, this::idleSockets);
+        this.controller = new Controller(settings, tuning, caller, loop, loop);
+        int forOthers = settings.maxSockets() - settings.ownSockets();
+        this.server = new Server(eventLoop, controller, loop, new Server.Limits(forOthers,
+                (int) (forOthers * (1 - FOR_USERS)), REPORTS_OF_PATIENCE * settings.workers().reportMicros(),
+                LEASES_OF_SILENCE * settings.workers().leaseMicros()), caller::trim);
+    }
+
+    /** What others leave free may idle on the node's own calls: a new connection for each message costs more. */
+    private int idleSockets() {
+        int free = settings.maxSockets() - settings.ownSockets() - server.connections();
+        return Math.max(settings.idleSockets(), free);
     }
 
     public void start() throws InterruptedException {
-        new Server(eventLoop, controller, (int) (settings.maxSockets() * (1 - OWN_SOCKETS)))
-                .listen(settings.listenAddress());
+        server.listen(settings.listenAddress());
         PeerNet peerNet = new PeerNet(eventLoop, controller.peers());
         peerNet.listen(settings.peerAddress());
         settings.peers().forEach(peerNet::speakTo);
--- a/src/main/java/org/weldcourse/app/WarmUp.java
+++ b/src/main/java/org/weldcourse/app/WarmUp.java
@@ -14,6 +14,7 @@
 import org.weldcourse.http.Json;
 import org.weldcourse.http.NettyCaller;
 import org.weldcourse.http.Server;
+import org.weldcourse.runtime.Loop;
 import org.weldcourse.settings.Settings;
 import org.weldcourse.settings.SettingsFile;
 import org.weldcourse.settings.Tuning;
@@ -33,10 +34,10 @@
         int api = freePort();
         int services = freePort();
         EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
-        new Server(loop, WarmUp::standIn, 20).listen(HOST + ":" + services);
+        new Server(loop, WarmUp::standIn, new Loop(loop), new Server.Limits(20, 20, 60_000_000, 60_000_000), () -> { }).listen(HOST + ":" + services);
         Node node = new Node(settings(api, freePort(), services), Tuning.DEFAULT);
         node.start();
-        NettyCaller caller = new NettyCaller(loop, 8);
+        NettyCaller caller = new NettyCaller(loop, () -> 8);
         CountDownLatch answered = new CountDownLatch(4);
         String address = HOST + ":" + api;
         loop.schedule(() -> {
--- a/src/main/java/org/weldcourse/http/IdleLines.java
+++ b/src/main/java/org/weldcourse/http/IdleLines.java
@@ -5,18 +5,19 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.function.Consumer;
+import java.util.function.IntSupplier;
 
 /**
- * Idle connections by address, and no more than so many in all: sockets are scarce, and there are many workers to whom a
- * message goes now and then. The one that idles longest makes room.
+ * Idle connections by address, and no more than there is room for: sockets are scarce, and there are many workers to whom
+ * a message goes now and then. The one that idles longest makes room.
  */
 final class IdleLines<T> {
-    private final int most;
+    private final IntSupplier most;
     private final Consumer<T> close;
     private final Map<String, ArrayDeque<T>> byAddress = new HashMap<>();
     private final Map<T, String> oldestFirst = new LinkedHashMap<>();
 
-    IdleLines(int most, Consumer<T> close) {
+    IdleLines(IntSupplier most, Consumer<T> close) {
         this.most = most;
         this.close = close;
     }
@@ -24,7 +25,12 @@
     void keep(String address, T line) {
         byAddress.computeIfAbsent(address, unknown -> new ArrayDeque<>()).addLast(line);
         oldestFirst.put(line, address);
-        if (oldestFirst.size() > most) {
+        trim();
+    }
+
+    /** Closes what there is no room for any more. */
+    void trim() {
+        while (oldestFirst.size() > most.getAsInt()) {
             T oldest = oldestFirst.keySet().iterator().next();
             forget(oldest);
             close.accept(oldest);
--- a/src/main/java/org/weldcourse/http/NettyCaller.java
+++ b/src/main/java/org/weldcourse/http/NettyCaller.java
@@ -20,6 +20,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.concurrent.TimeUnit;
+import java.util.function.IntSupplier;
 
 /** The caller on Netty: keeps idle connections by address, one request at a time on each. */
 public final class NettyCaller implements Caller {
@@ -29,11 +30,16 @@
     private final EventLoop loop;
     private final IdleLines<Line> idle;
 
-    public NettyCaller(EventLoop loop, int mostIdle) {
+    public NettyCaller(EventLoop loop, IntSupplier mostIdle) {
         this.loop = loop;
         this.idle = new IdleLines<>(mostIdle, line -> line.context.close());
     }
 
+    /** There may be room for fewer idle connections than before. */
+    public void trim() {
+        idle.trim();
+    }
+
     @Override
     public void call(Call call, Done done) {
         Line line = takeIdle(call.address());
--- a/src/main/java/org/weldcourse/http/Server.java
+++ b/src/main/java/org/weldcourse/http/Server.java
@@ -21,9 +21,13 @@
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.weldcourse.runtime.Clock;
 
 /** The HTTP side that users, workers and health checks reach. */
 public final class Server {
@@ -32,17 +36,35 @@
 
     private final EventLoop loop;
     private final Handler handler;
-    private final int mostConnections;
-    private int connections;
+    private final Clock clock;
+    private final Limits limits;
+    private final Runnable opened;
+    private final OpenLines<Channel> lines;
 
-    public Server(EventLoop loop, Handler handler, int mostConnections) {
+    /** {@code opened} runs after each new connection. */
+    public Server(EventLoop loop, Handler handler, Clock clock, Limits limits, Runnable opened) {
         this.loop = loop;
         this.handler = handler;
-        this.mostConnections = mostConnections;
+        this.clock = clock;
+        this.limits = limits;
+        this.opened = opened;
+        this.lines = new OpenLines<>(limits.connections, limits.workers, limits.patienceMicros, Channel::close);
+    }
+
+    /**
+     * How many connections there may be, and how many of them workers may have. One that is silent for the patience may
+     * have to make room for another; one that is silent for {@code idleMicros} is closed in any case.
+     */
+    public record Limits(int connections, int workers, long patienceMicros, long idleMicros) {
     }
 
     public interface Handler {
         void handle(Request request, Reply reply);
+
+        /** Whether only workers send this. */
+        default boolean isWorkers(Request request) {
+            return false;
+        }
     }
 
     public record Request(String method, String path, byte[] body) {
@@ -62,24 +84,31 @@
         }
     }
 
+    public int connections() {
+        return lines.size();
+    }
+
     public void listen(String address) throws InterruptedException {
         HostPort at = HostPort.of(address);
         new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_REUSEADDR, true)
-                .option(ChannelOption.SO_BACKLOG, 128)
+                // A new leader's workers come all at once.
+                .option(ChannelOption.SO_BACKLOG, limits.connections)
                 .childOption(ChannelOption.TCP_NODELAY, true)
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        if (connections >= mostConnections) {
+                        if (!lines.opened(channel, clock.nowMicros())) {
                             channel.close();
                             return;
                         }
-                        connections++;
-                        channel.closeFuture().addListener(closed -> connections--);
+                        channel.closeFuture().addListener(closed -> lines.closed(channel));
+                        opened.run();
                         channel.pipeline()
+                                // Machines that died or were cut off say no goodbye.
+                                .addLast(new IdleStateHandler(limits.idleMicros, 0, 0, TimeUnit.MICROSECONDS))
                                 .addLast(new HttpServerCodec())
                                 .addLast(new BoundedBodies())
                                 .addLast(new Connection());
@@ -119,6 +148,10 @@
                 respond(ctx, false, 400, Json.of("error", "malformed request"), 0);
                 return;
             }
+            if (!lines.heard(ctx.channel(), handler.isWorkers(request), clock.nowMicros())) {
+                respond(ctx, false, 503, Json.of("error", "too many workers"), 1);
+                return;
+            }
             try {
                 handler.handle(request, reply);
             } catch (RuntimeException unexpected) {
@@ -145,6 +178,13 @@
             }
         }
 
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event instanceof IdleStateEvent) {
+                ctx.close();
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             ctx.close();
--- a/src/main/java/org/weldcourse/settings/Settings.java
+++ b/src/main/java/org/weldcourse/settings/Settings.java
@@ -19,6 +19,8 @@
         Cloud cloud,
         int maxSockets) {
 
+    private static final int MOST_OWN_SOCKETS = 200;
+
     public record Peer(String name, String zone, String address) {
     }
 
@@ -44,6 +46,24 @@
     public record Cloud(double requestsPerSecond, long listLagMicros) {
     }
 
+    /**
+     * Sockets kept back for the node's own calls: those to the state service wait for users' requests, which are
+     * bounded, so that a large grant goes to workers and users.
+     */
+    public int ownSockets() {
+        return Math.min(maxSockets / 4, MOST_OWN_SOCKETS);
+    }
+
+    /** How many of them may be left open for the next calls, however many connections others hold. */
+    public int idleSockets() {
+        return ownSockets() / 3;
+    }
+
+    /** How many of them may be messages under way to workers. */
+    public int directSockets() {
+        return ownSockets() / 4;
+    }
+
     public Team team(String name) {
         for (Team team : teams) {
             if (team.name().equals(name)) {
--- a/src/test/java/org/weldcourse/http/IdleLinesTest.java
+++ b/src/test/java/org/weldcourse/http/IdleLinesTest.java
@@ -11,11 +11,16 @@
     @Test
     void thoseThatIdleLongestMakeRoom() {
         List<String> closed = new ArrayList<>();
-        IdleLines<String> lines = new IdleLines<>(3, closed::add);
+        int[] room = {3};
+        IdleLines<String> lines = new IdleLines<>(() -> room[0], closed::add);
         for (int i = 0; i < 5; i++) {
             lines.keep("worker-" + i, "line " + i);
         }
         assertEquals(List.of("line 0", "line 1"), closed);
+        // Others opened connections meanwhile.
+        room[0] = 2;
+        lines.trim();
+        assertEquals(List.of("line 0", "line 1", "line 2"), closed);
         assertNull(lines.take("worker-0"));
         assertEquals("line 4", lines.take("worker-4"));
         assertNull(lines.take("worker-4"));
@@ -23,7 +28,7 @@
 
     @Test
     void theOneUsedLastIsTakenAndALostOneForgotten() {
-        IdleLines<String> lines = new IdleLines<>(3, line -> { });
+        IdleLines<String> lines = new IdleLines<>(() -> 3, line -> { });
         lines.keep("state", "first");
         lines.keep("state", "second");
         lines.keep("state", "third");
