--- a/src/main/java/org/weldcourse/admission/Planner.java
+++ b/src/main/java/org/weldcourse/admission/Planner.java
@@ -512,17 +512,17 @@
             exhausted.add(shape);
         }
         boolean reclaims = reclaims(job, usage);
-        List<Room> best = List.of();
+        List<Gathered> best = new ArrayList<>();
         int bestFree = -1;
         for (List<Room> choice : choices.values()) {
-            Map<Room, Integer> free = new IdentityHashMap<>();
+            List<Gathered> gathered = new ArrayList<>(choice.size());
             int all = 0;
             int most = 0;
             for (Room room : choice) {
                 Offer offer = room.fits(job.spec()) > 0 || mayYield(job, reclaims, room)
                         ? offerWithVictims(job, usage, room, tasks, 0) : null;
                 int places = offer == null ? 0 : offer.tasks;
-                free.put(room, places);
+                gathered.add(new Gathered(room, places == 0, freeAtMicros(room)));
                 all += places;
                 most += room.machine.type().tasksThatFit(job.spec());
                 freeByZone.merge(room.machine.zone(), places, Integer::sum);
@@ -531,14 +531,14 @@
             boolean worthHolding = most >= tasks || nowMicros - job.acceptedMicros() > HOLD_FEWER_MICROS;
             if (worthHolding && all > bestFree) {
                 bestFree = all;
-                choice.sort(Comparator.comparing((Room room) -> free.get(room) == 0)
-                        .thenComparingLong(this::freeAtMicros).thenComparing(room -> room.machine.name()));
-                best = choice;
+                best = gathered;
             }
         }
         if (heldMicros < HOLD_MICROS) {
+            best.sort(Gathered::compareWait);
             int places = 0;
-            for (Room room : best) {
+            for (Gathered gathered : best) {
+                Room room = gathered.room;
                 if (places >= tasks) {
                     break;
                 }
@@ -550,6 +550,17 @@
         return freeByZone;
     }
 
+    /** A machine that may be held for a gang: whether it has no place yet, and when its last task should have ended. */
+    private record Gathered(Room room, boolean full, long freeAtMicros) {
+        int compareWait(Gathered other) {
+            if (full != other.full) {
+                return Boolean.compare(full, other.full);
+            }
+            int byTime = Long.compare(freeAtMicros, other.freeAtMicros);
+            return byTime != 0 ? byTime : room.machine.name().compareTo(other.room.machine.name());
+        }
+    }
+
     /** When the last of the tasks on the machine should have ended. */
     private long freeAtMicros(Room room) {
         long atMicros = nowMicros;
--- a/src/main/java/org/weldcourse/admission/RunTimes.java
+++ b/src/main/java/org/weldcourse/admission/RunTimes.java
@@ -34,8 +34,8 @@
         if (job.finishedRuns > 0) {
             return job.finishedMicros / job.finishedRuns;
         }
-        double[] sums = byClass.getOrDefault(job.spec.jobClass(), new double[2]);
-        double factor = (sums[0] + PRIOR_TASKS) / (sums[1] + PRIOR_TASKS);
+        double[] sums = byClass.get(job.spec.jobClass());
+        double factor = sums == null ? 1 : (sums[0] + PRIOR_TASKS) / (sums[1] + PRIOR_TASKS);
         return (long) (job.spec.estimateMicros() * Math.max(LEAST_FACTOR, Math.min(MOST_FACTOR, factor)));
     }
 
