--- a/src/main/java/org/weldcourse/admission/Planner.java
+++ b/src/main/java/org/weldcourse/admission/Planner.java
@@ -92,6 +92,8 @@
         double memoryGb;
         /** Whether it holds the image of the job that looks for room just now. */
         boolean holdsImage;
+        /** And whether others that would displace it need such a machine. */
+        boolean sought;
         /** What tasks should leave in a moment: others are booked on it ahead, to run in the answer to the exits. */
         double cpusAhead;
         double gpusAhead;
@@ -378,6 +380,7 @@
 
     private static void sortByPreference(List<Room> rooms, JobSpec spec) {
         for (Room room : rooms) {
+            room.sought = room.machine.soughtBy() != null && room.machine.soughtBy().compareTo(spec.rank()) < 0;
             room.holdsImage = room.machine.load().images().contains(spec.image());
         }
         rooms.sort(Planner::comparePreference);
@@ -387,8 +390,8 @@
         if (a.priceStep != b.priceStep) {
             return Integer.compare(a.priceStep, b.priceStep);
         }
-        if (a.machine.sought() != b.machine.sought()) {
-            return Boolean.compare(a.machine.sought(), b.machine.sought());
+        if (a.sought != b.sought) {
+            return Boolean.compare(a.sought, b.sought);
         }
         if (a.holdsImage != b.holdsImage) {
             return Boolean.compare(b.holdsImage, a.holdsImage);
--- a/src/main/java/org/weldcourse/admission/Snapshot.java
+++ b/src/main/java/org/weldcourse/admission/Snapshot.java
@@ -35,10 +35,10 @@
     }
 
     /**
-     * {@code sought}: jobs whose class has an aim for its start need such a machine, so that what they would
-     * displace had better go elsewhere. The load may exceed the machine while a preemptor waits for its victims to leave.
+     * {@code soughtBy}: the highest rank of classes with an aim for their start that need such a machine, or null: what
+     * they would displace had better go elsewhere. The load may exceed the machine while a preemptor waits for its victims to leave.
      */
-    public record MachineView(String name, MachineType type, String zone, boolean spot, boolean sought, Load load) {
+    public record MachineView(String name, MachineType type, String zone, boolean spot, JobSpec.Rank soughtBy, Load load) {
     }
 
     /** A booked task, since when it runs and how long it should run in all. */
--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -523,7 +523,7 @@
         for (Machine machine : board.machines.values()) {
             if (machine.usable() && nowMicros - machine.heardMicros < quietMicros()) {
                 machines.add(new MachineView(machine.name, machine.type, machine.zone, machine.spot,
-                        fleet.isSought(machine), machine.load(board.runTimes)));
+                        fleet.soughtBy(machine), machine.load(board.runTimes)));
             }
         }
         List<JobView> jobs = new ArrayList<>();
--- a/src/main/java/org/weldcourse/fleet/FleetKeeper.java
+++ b/src/main/java/org/weldcourse/fleet/FleetKeeper.java
@@ -54,8 +54,8 @@
     private final ArrayDeque<Runnable> again = new ArrayDeque<>();
     private List<FleetPlanner.Need> needs = List.of();
     private Set<String> held = Set.of();
-    /** The part of the sought machines' CPUs that classes with an aim for their start had of late. */
-    private double soughtLoad;
+    /** By class with an aim for its start: the part of the CPUs it may use that it had of late. */
+    private final Map<String, Double> soughtLoad = new HashMap<>();
     private final Spending spending = new Spending();
     private long nextListMicros;
     private long requests;
@@ -108,33 +108,63 @@
         return releasedNames.contains(machine);
     }
 
-    private double soughtLoadNow() {
-        double all = 0;
-        double taken = 0;
+    private void countSoughtLoad() {
+        Map<String, Double> taken = new HashMap<>();
+        Map<String, Double> all = new HashMap<>();
         for (Machine machine : board.machines.values()) {
-            if (!machine.isUp() || machine.type == null || !isSought(machine)) {
+            if (!machine.isUp() || machine.type == null) {
                 continue;
             }
-            all += machine.type.cpus();
+            for (Map.Entry<String, JobSpec> aim : startAims.entrySet()) {
+                if (seeks(aim.getValue(), machine)) {
+                    all.merge(aim.getKey(), machine.type.cpus(), Double::sum);
+                }
+            }
             for (Booking booking : machine.bookings.values()) {
-                taken += startAims.containsKey(booking.job.spec.jobClass()) ? booking.job.spec.cpus() : 0;
+                taken.merge(booking.job.spec.jobClass(), booking.job.spec.cpus(), Double::sum);
             }
         }
-        return all == 0 ? 0 : Math.min(1, taken / all);
+        soughtLoad.keySet().retainAll(startAims.keySet());
+        for (String name : startAims.keySet()) {
+            double now = Math.min(1, taken.getOrDefault(name, 0.0) / Math.max(1, all.getOrDefault(name, 0.0)));
+            double before = soughtLoad.getOrDefault(name, 0.0);
+            soughtLoad.put(name, before + (now - before) * STEP_MICROS / LOAD_MEMORY_MICROS);
+        }
+    }
+
+    /**
+     * By rank, the part of such a machine that more important classes are likely to take from it. Classes of its own rank
+     * and below displace nothing, so that what they take is part of the work that is planned for.
+     */
+    private double[] takenShares(Machine machine) {
+        double[] shares = new double[JobSpec.Rank.values().length];
+        for (Map.Entry<String, JobSpec> aim : startAims.entrySet()) {
+            if (seeks(aim.getValue(), machine)) {
+                for (int rank = aim.getValue().rank().ordinal() + 1; rank < shares.length; rank++) {
+                    shares[rank] = Math.min(1, shares[rank] + soughtLoad.getOrDefault(aim.getKey(), 0.0));
+                }
+            }
+        }
+        return shares;
     }
 
     public Spending spending() {
         return spending;
     }
 
-    /** Whether a job of a class with an aim for its start could go to such a machine. */
-    public boolean isSought(Machine machine) {
+    private static boolean seeks(JobSpec shape, Machine machine) {
+        return machine.type.fits(shape) && (shape.spot() || !machine.spot);
+    }
+
+    /** The highest rank of classes with an aim for their start that could go to such a machine, or null. */
+    public JobSpec.Rank soughtBy(Machine machine) {
+        JobSpec.Rank highest = null;
         for (JobSpec shape : startAims.values()) {
-            if (machine.type.fits(shape) && (shape.spot() || !machine.spot)) {
-                return true;
+            if (seeks(shape, machine) && (highest == null || shape.rank().compareTo(highest) < 0)) {
+                highest = shape.rank();
             }
         }
-        return false;
+        return highest;
     }
 
     @Override
@@ -157,7 +187,7 @@
         while (!again.isEmpty() && calls.tryTake(1)) {
             again.poll().run();
         }
-        soughtLoad += (soughtLoadNow() - soughtLoad) * STEP_MICROS / LOAD_MEMORY_MICROS;
+        countSoughtLoad();
         spending.count(board.machines.values(), nowMicros);
         release(nowMicros);
         rent(nowMicros);
@@ -231,7 +261,7 @@
             busyCpuMicros += board.runTimes.leftMicros(booking, nowMicros) * booking.job.spec.cpus();
         }
         return new FleetPlanner.Host(machine.type, machine.zone, machine.spot, booting, availableAtMicros,
-                busyCpuMicros, isSought(machine) ? soughtLoad : 0);
+                busyCpuMicros, takenShares(machine));
     }
 
     private void rent(String request, Offer offer, int count) {
--- a/src/main/java/org/weldcourse/fleet/FleetPlanner.java
+++ b/src/main/java/org/weldcourse/fleet/FleetPlanner.java
@@ -21,6 +21,8 @@
     /** How much a machine is expected to earn back of its boot: the stay that boot time is weighed against. */
     private static final double STAY_MICROS = 180e6;
 
+    private static final double[] NOTHING_TAKEN = new double[JobSpec.Rank.values().length];
+
     private FleetPlanner() {
     }
 
@@ -29,11 +31,11 @@
     }
 
     /**
-     * A machine from when it can take work, the work that is on it already, and the part of it that more
-     * important work is likely to take from what waits now.
+     * A machine from when it can take work, the work that is on it already, and by the rank of what waits now the part
+     * of it that more important work is likely to take.
      */
     public record Host(MachineType type, String zone, boolean spot, boolean booting, long availableAtMicros,
-            double busyCpuMicros, double takenShare) {
+            double busyCpuMicros, double[] takenShares) {
     }
 
     /**
@@ -75,7 +77,7 @@
             if (!allowed(need.job(), host) || runs <= 0) {
                 return 0;
             }
-            double most = EFFICIENCY * (1 - host.takenShare()) * host.type().tasksThatFit(need.job())
+            double most = EFFICIENCY * (1 - host.takenShares()[need.job().rank().ordinal()]) * host.type().tasksThatFit(need.job())
                     * need.job().cpus() * runs * need.runMicros();
             return Math.max(0, most - usedCpuMicros);
         }
@@ -241,7 +243,7 @@
 
     private record Choice(Offer offer, MachineType type, double cost) {
         Supply supply(long nowMicros) {
-            return new Supply(new Host(type, offer.zone(), offer.spot(), true, nowMicros + type.bootMicros(), 0, 0));
+            return new Supply(new Host(type, offer.zone(), offer.spot(), true, nowMicros + type.bootMicros(), 0, NOTHING_TAKEN));
         }
     }
 
