--- a/src/main/java/org/weldcourse/http/Server.java
+++ b/src/main/java/org/weldcourse/http/Server.java
@@ -178,6 +178,12 @@
             }
         }
 
+        /** From one that does not read its answers nothing more is read either. */
+        @Override
+        public void channelWritabilityChanged(ChannelHandlerContext ctx) {
+            ctx.channel().config().setAutoRead(ctx.channel().isWritable());
+        }
+
         @Override
         public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
             if (event instanceof IdleStateEvent) {
--- a/src/main/java/org/weldcourse/peers/PeerNet.java
+++ b/src/main/java/org/weldcourse/peers/PeerNet.java
@@ -14,6 +14,8 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
 import java.net.ConnectException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
@@ -26,6 +28,7 @@
  */
 public final class PeerNet {
     private static final long BEAT_MICROS = 400_000;
+    private static final long SILENCE_MICROS = 25 * BEAT_MICROS;
     private static final int CONNECT_TIMEOUT_MILLIS = 1_000;
     /** Refusals in a row, after a connection that stood, that speak for an ended process. */
     private static final int REFUSALS_TO_BELIEVE = 2;
@@ -49,7 +52,9 @@
                 .childHandler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new Listener());
+                        channel.pipeline()
+                                .addLast(new IdleStateHandler(SILENCE_MICROS, 0, 0, TimeUnit.MICROSECONDS))
+                                .addLast(new Listener());
                     }
                 })
                 .bind(at.host(), at.port())
@@ -78,6 +83,14 @@
             }
         }
 
+        /** A peer that lives speaks at a steady beat; one that ended or is cut off leaves its connection behind. */
+        @Override
+        public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+            if (event instanceof IdleStateEvent) {
+                ctx.close();
+            }
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
             ctx.close();
@@ -132,7 +145,10 @@
 
         private void speak(Channel channel) {
             if (channel.isActive()) {
-                channel.writeAndFlush(Unpooled.wrappedBuffer(peers.own().encode()));
+                // One that does not read is told nothing more until it does: its status would only be old.
+                if (channel.isWritable()) {
+                    channel.writeAndFlush(Unpooled.wrappedBuffer(peers.own().encode()));
+                }
                 loop.schedule(() -> speak(channel), BEAT_MICROS, TimeUnit.MICROSECONDS);
             }
         }
--- a/src/test/java/org/weldcourse/app/ServiceTest.java
+++ b/src/test/java/org/weldcourse/app/ServiceTest.java
@@ -776,4 +776,53 @@
             assertTrue(i == 5 || world.reaches("n0", String.format("req-%06d", 700 + i), "done", 120));
         }
     }
+
+    @Test
+    void anAimForTheStartOfArraysRentsNoMoreForThem() {
+        // What arrays have themselves was taken for what others would take from them, and machines were rented anew.
+        List<Integer> rented = new ArrayList<>();
+        for (List<Settings.Objective> aims : List.of(List.<Settings.Objective>of(),
+                List.of(new Settings.Objective("wait", "any", 60_000_000, 0.9, 1)))) {
+            World world = new World(1, aims);
+            world.time.passSeconds(2);
+            for (int i = 0; i < 30; i++) {
+                world.submit("n0", jobBody(String.format("req-%06d", 800 + i), "beads", 8, "due_s", 120.0));
+                world.time.passSeconds(4);
+            }
+            rented.add(world.cloud.machines().size() + world.cloud.released.size());
+        }
+        assertTrue(rented.get(1) <= rented.get(0) + 1, rented.toString());
+    }
+
+    @Test
+    void leaderThatStoodStillActsOnNothingThatItBelievedBefore() {
+        for (int millis = 0; millis < 1_000; millis += 125) {
+            World world = settled(3);
+            world.runMicros.put("req-000054", 60_000_000L);
+            world.submit("n0", jobBody("req-000054"));
+            assertTrue(world.reaches("n0", "req-000054", "running", 60));
+            world.time.passSeconds(2);
+            String old = world.leader();
+            String other = old.equals("n0") ? "n1" : "n0";
+            // In the middle of an admission, its write, its first start.
+            world.submit(other, jobBody("req-000055"));
+            world.time.pass(millis * 1_000);
+            world.freezeNode(old);
+            world.time.passSeconds(8);
+            assertEquals("cancelled", world.withdraw(other, "req-000054").state());
+            world.time.passSeconds(17);
+            int machines = world.cloud.machines().size();
+            int released = world.cloud.released.size();
+            world.thawNode(old);
+            world.time.pass(300_000);
+            assertFalse(world.controller(old).leads(), "after " + millis);
+            assertEquals(machines, world.cloud.machines().size());
+            assertEquals(released, world.cloud.released.size());
+            assertEquals("cancelled", world.poll(old, "req-000054").state());
+            world.time.passSeconds(20);
+            world.checkCancelled();
+            assertTrue(world.reaches(old, "req-000055", "done", 90));
+            assertTrue(world.starts.values().stream().allMatch(count -> count == 1), world.starts.toString());
+        }
+    }
 }
--- /dev/null
+++ b/src/test/java/org/weldcourse/rehearsal/StandStill.java
@@ -0,0 +1,62 @@
+package org.weldcourse.rehearsal;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Random;
+import org.weldcourse.http.Caller;
+import org.weldcourse.runtime.Timers;
+
+/**
+ * What a process hears of the world: its timers, answers and requests. While it stands still they wait, and then come all
+ * at once and in no order.
+ */
+final class StandStill implements Timers {
+    private final FakeTime time;
+    private final List<Runnable> waiting = new ArrayList<>();
+    private final Random random = new Random(7);
+    private boolean still;
+
+    StandStill(FakeTime time) {
+        this.time = time;
+    }
+
+    boolean isStill() {
+        return still;
+    }
+
+    void begin() {
+        still = true;
+    }
+
+    void end() {
+        still = false;
+        List<Runnable> all = new ArrayList<>(waiting);
+        waiting.clear();
+        Collections.shuffle(all, random);
+        all.forEach(Runnable::run);
+    }
+
+    void run(Runnable work) {
+        if (still) {
+            waiting.add(work);
+        } else {
+            work.run();
+        }
+    }
+
+    @Override
+    public Timer after(long delayMicros, Runnable work) {
+        boolean[] off = new boolean[1];
+        time.after(delayMicros, () -> run(() -> {
+            if (!off[0]) {
+                work.run();
+            }
+        }));
+        return () -> off[0] = true;
+    }
+
+    Caller caller(Caller outside) {
+        return (call, done) -> outside.call(call, answer -> run(() -> done.accept(answer)));
+    }
+}
--- a/src/test/java/org/weldcourse/rehearsal/World.java
+++ b/src/test/java/org/weldcourse/rehearsal/World.java
@@ -10,6 +10,7 @@
 import org.weldcourse.app.Controller;
 import org.weldcourse.http.Json;
 import org.weldcourse.http.Server;
+import org.weldcourse.peers.PeerStatus;
 import org.weldcourse.settings.Settings;
 import org.weldcourse.settings.Tuning;
 
@@ -37,9 +38,11 @@
     private final Map<String, FakeWorker> running = new HashMap<>();
     private final Map<String, Long> cancelledMicros = new HashMap<>();
     private final Map<String, Controller> controllers = new LinkedHashMap<>();
+    private final Map<String, StandStill> stills = new HashMap<>();
     private final Set<String> fromPeers = new HashSet<>();
     private final Map<String, String> addressByName = new LinkedHashMap<>();
     private final List<Settings.Team> teams;
+    private final List<Settings.Objective> objectives;
     private final int txnOps;
     private final int valueBytes;
 
@@ -49,6 +52,15 @@
     }
 
     public World(int nodes, int txnOps, int valueBytes, List<Settings.Team> teams) {
+        this(nodes, txnOps, valueBytes, teams, List.of());
+    }
+
+    public World(int nodes, List<Settings.Objective> objectives) {
+        this(nodes, 16, 32 * 1024, List.of(new Settings.Team("core", 0, 0, 0, 0)), objectives);
+    }
+
+    private World(int nodes, int txnOps, int valueBytes, List<Settings.Team> teams, List<Settings.Objective> objectives) {
+        this.objectives = objectives;
         this.txnOps = txnOps;
         this.valueBytes = valueBytes;
         this.teams = teams;
@@ -67,8 +79,10 @@
     private void beat() {
         for (Map.Entry<String, Controller> from : new ArrayList<>(controllers.entrySet())) {
             for (Map.Entry<String, Controller> to : new ArrayList<>(controllers.entrySet())) {
-                if (from != to && !fromPeers.contains(from.getKey()) && !fromPeers.contains(to.getKey())) {
-                    to.getValue().peers().heard(from.getValue().peers().own());
+                if (from != to && !fromPeers.contains(from.getKey()) && !fromPeers.contains(to.getKey())
+                        && !stills.get(from.getKey()).isStill()) {
+                    PeerStatus status = from.getValue().peers().own();
+                    stills.get(to.getKey()).run(() -> to.getValue().peers().heard(status));
                 }
             }
         }
@@ -81,12 +95,24 @@
     }
 
     public void startNode(String name) {
-        Controller controller = new Controller(settings(name), Tuning.DEFAULT, net.caller(name), time, time);
+        StandStill still = new StandStill(time);
+        Controller controller = new Controller(settings(name), Tuning.DEFAULT, still.caller(net.caller(name)), time,
+                still);
+        stills.put(name, still);
         controllers.put(name, controller);
-        net.host(addressByName.get(name), controller);
+        net.host(addressByName.get(name), (request, reply) -> still.run(() -> controller.handle(request, reply)));
         controller.start();
     }
 
+    /** The process stands still while its clock runs on; whatever comes for it meanwhile waits. */
+    public void freezeNode(String name) {
+        stills.get(name).begin();
+    }
+
+    public void thawNode(String name) {
+        stills.get(name).end();
+    }
+
     /** The process is gone from one moment to the next: nobody hears of it again. */
     public void killNode(String name) {
         controllers.remove(name).stop();
@@ -137,7 +163,7 @@
             }
         });
         return new Settings(name, "a", addressByName.get(name), name + ":81", peers, CLOUD, STATE,
-                List.of("a", "b"), teams, List.of(),
+                List.of("a", "b"), teams, objectives,
                 new Settings.Workers(REPORT_MICROS, LEASE_MICROS, 40_000_000, 4_000_000, CANCEL_MICROS),
                 new Settings.State(250, 50, valueBytes, txnOps), new Settings.Cloud(3, 8_000_000), 500);
     }
