--- a/src/main/java/org/weldcourse/admission/Planner.java
+++ b/src/main/java/org/weldcourse/admission/Planner.java
@@ -38,7 +38,7 @@
     private static final long OWED_MICROS = 180_000_000;
     private static final int OWED = 0;
     private static final int KEEPS_AIM = 1;
-    private static final int MISSED_AIM = 2;
+    private static final int MISSED_AIM = Integer.MAX_VALUE;
 
     private final List<Room> rooms = new ArrayList<>();
     private final Map<String, Usage> usages = new HashMap<>();
@@ -242,12 +242,13 @@
     /** A job in its team's queue, with what its place there follows from: worked out once, compared often. */
     private record Queued(JobView job, int promise, int workStep) {
         /**
-         * Of equal ranks: first what has waited for so long that it is owed its start, then what can still keep its
-         * class's aim, the less work before the more since more of it does, then the rest.
+         * Of equal ranks: first what has waited for so long that it is owed its start, then what can still keep an
+         * aim of its class, its first before only a later one, the less work before the more since more of it does,
+         * then the rest.
          */
         int comparePromise(Queued other) {
             int byPromise = Integer.compare(promise, other.promise);
-            if (byPromise == 0 && promise == KEEPS_AIM) {
+            if (byPromise == 0 && promise != OWED && promise != MISSED_AIM) {
                 byPromise = Integer.compare(workStep, other.workStep);
             }
             return byPromise != 0 ? byPromise : Long.compare(job.latestStartMicros(), other.job.latestStartMicros());
@@ -260,7 +261,11 @@
         if (owed && !job.begun()) {
             return OWED;
         }
-        return nowMicros <= job.admitByMicros() ? KEEPS_AIM : MISSED_AIM;
+        int missed = 0;
+        while (missed < job.admitByMicros().length && job.admitByMicros()[missed] < nowMicros) {
+            missed++;
+        }
+        return missed > 0 && missed == job.admitByMicros().length ? MISSED_AIM : KEEPS_AIM + missed;
     }
 
     private boolean within(JobView job) {
--- a/src/main/java/org/weldcourse/admission/Snapshot.java
+++ b/src/main/java/org/weldcourse/admission/Snapshot.java
@@ -71,13 +71,11 @@
 
     /**
      * A job with tasks to place; {@code zoneCounts} says where its other tasks are booked, {@code admitByMicros} until
-     * when it has to be admitted to keep its class's aim for the start, or else its last aim for the end,
+     * when it has to be admitted to keep its class's aims, the soonest first (none: it has no time to keep),
      * {@code expectedMicros} how long a task of it should run.
      */
-    public record JobView(JobSpec spec, BitSet pending, long acceptedMicros, boolean begun, long admitByMicros,
+    public record JobView(JobSpec spec, BitSet pending, long acceptedMicros, boolean begun, long[] admitByMicros,
             long latestStartMicros, long expectedMicros, Map<String, Integer> zoneCounts, Set<String> badMachines) {
-        static final long NO_AIM = Long.MAX_VALUE;
-
         /** The work that is left to admit, in steps of twice as much. */
         int workStep() {
             double cpuSeconds = pending.cardinality() * spec.cpus() * (expectedMicros / 1e6);
--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -535,8 +535,9 @@
                         zones.merge(String.valueOf(booking.machine.zone), 1, Integer::sum);
                     }
                 }
+                boolean begun = !job.bookings.isEmpty() || !job.done.isEmpty();
                 jobs.add(new JobView(job.spec, (BitSet) job.pending.clone(), job.acceptedMicros,
-                        !job.bookings.isEmpty() || !job.done.isEmpty(), admitByMicros(job), latestStartMicros(job),
+                        begun, admitByMicros(job, begun), latestStartMicros(job),
                         board.runTimes.expectedMicros(job), zones,
                         job.badMachines));
             }
@@ -574,27 +575,20 @@
     }
 
     /**
-     * Admitted later than this the job misses its class's aim for the start for certain, as orders and images take a part
-     * of the time, or, where there is none, every aim for its end.
+     * For each aim of the job's class until when it has to be admitted, the soonest first: later than that the aim is missed
+     * for certain. Of the time for a start, orders and images take a part; an array that has begun has kept it or not.
      */
-    private long admitByMicros(Job job) {
-        long endByMicros = 0;
-        for (Settings.Objective aim : parts.settings().objectives()) {
-            if (!aim.jobClass().equals(job.spec.jobClass())) {
-                continue;
-            }
-            switch (aim.kind()) {
-                case "wait" -> {
-                    return job.acceptedMicros + aim.withinMicros() * 3 / 4;
-                }
-                case "finished" -> endByMicros = Math.max(endByMicros, aim.withinMicros());
-                case "deadline" -> endByMicros =
-                        Math.max(endByMicros, (long) (job.spec.deadlineMicros() * Math.max(1, aim.times())));
-                default -> { }
-            }
-        }
-        return endByMicros == 0 ? JobView.NO_AIM
-                : job.acceptedMicros + endByMicros - board.runTimes.expectedMicros(job);
+    private long[] admitByMicros(Job job, boolean begun) {
+        long runMicros = board.runTimes.expectedMicros(job);
+        return parts.settings().objectives().stream()
+                .filter(aim -> aim.jobClass().equals(job.spec.jobClass()))
+                .filter(aim -> !aim.kind().equals("wait") || job.spec.gang() || !begun)
+                .filter(aim -> !aim.kind().equals("deadline") || job.spec.deadlineMicros() > 0)
+                .mapToLong(aim -> job.acceptedMicros + switch (aim.kind()) {
+                    case "wait" -> aim.withinMicros() * 3 / 4;
+                    case "finished" -> aim.withinMicros() - runMicros;
+                    default -> (long) (job.spec.deadlineMicros() * Math.max(1, aim.times())) - runMicros;
+                }).sorted().toArray();
     }
 
     /** Jobs that must start sooner come first; those without any time to keep to come by age. */
--- a/src/test/java/org/weldcourse/admission/PlannerTest.java
+++ b/src/test/java/org/weldcourse/admission/PlannerTest.java
@@ -36,7 +36,8 @@
         JobSpec spec = spec(String.format("req-%06d", number), "shape", "ensemble", "rank", "urgent", "beads", tasks,
                 "cpus", 14.0, "together", true);
         long accepted = NOW - waitedSeconds * SECOND;
-        return new JobView(spec, pending(tasks), accepted, false, accepted + 15 * SECOND, accepted + 100 * SECOND, 30 * SECOND,
+        return new JobView(spec, pending(tasks), accepted, false,
+                new long[] {accepted + 15 * SECOND, accepted + 60 * SECOND}, accepted + 100 * SECOND, 30 * SECOND,
                 Map.of(),
                 Set.of());
     }
@@ -71,7 +72,11 @@
     @Test
     void whatKeepsItsAimComesBeforeWhatMissedItAndWhatIsOwedBeforeBoth() throws Exception {
         List<MachineView> one = List.of(machine("m-1"));
-        assertEquals(List.of("req-000002"), admitted(decide(PLENTY, one, gang(1, 1, 60), gang(2, 1, 2))));
+        assertEquals(List.of("req-000002"), admitted(decide(PLENTY, one, gang(1, 1, 61), gang(2, 1, 2))));
+        // One that can keep a later aim stands between them, small ones first.
+        assertEquals(List.of("req-000002"), admitted(decide(PLENTY, one, gang(1, 1, 30), gang(2, 1, 2))));
+        assertEquals(List.of("req-000002"), admitted(decide(PLENTY, one, gang(1, 1, 90), gang(2, 1, 30))));
+        assertEquals(List.of("req-000003"), admitted(decide(PLENTY, one, gang(1, 2, 40), gang(2, 2, 59), gang(3, 1, 20))));
         assertEquals(List.of("req-000001"), admitted(decide(PLENTY, one, gang(1, 1, 160), gang(2, 1, 2))));
         assertEquals(List.of("req-000002"), admitted(decide(PLENTY, List.of(machine("m-1"), machine("m-2")),
                 gang(1, 2, 2), gang(2, 1, 1))));
@@ -83,7 +88,7 @@
         List<MachineView> machines = List.of(machine("m-1"), machine("m-2"),
                 machine("m-3", new TaskView(running, 0, false, NOW - SECOND, 60 * SECOND)));
         JobSpec idle = spec("req-000008", "rank", "idle", "beads", 2);
-        JobView array = new JobView(idle, pending(2), NOW, false, JobView.NO_AIM, NOW + SECOND, SECOND, Map.of(),
+        JobView array = new JobView(idle, pending(2), NOW, false, new long[0], NOW + SECOND, SECOND, Map.of(),
                 Set.of());
         // The large one is owed its start: the small one behind it may not take what it waits for.
         Decisions decisions = decide(PLENTY, machines, gang(1, 3, 160), gang(2, 1, 160 - 1), array);
@@ -107,7 +112,7 @@
         MachineView ending = machine("m-1", new TaskView(other, 0, false, NOW - 29 * SECOND, 30 * SECOND),
                 new TaskView(other, 1, false, NOW, 30 * SECOND));
         JobSpec idle = spec("req-000008", "beads", 20, "cpus", 4.0);
-        JobView array = new JobView(idle, pending(20), NOW, false, JobView.NO_AIM, NOW, SECOND, Map.of(), Set.of());
+        JobView array = new JobView(idle, pending(20), NOW, false, new long[0], NOW, SECOND, Map.of(), Set.of());
         Decisions decisions = decide(PLENTY, List.of(ending), array);
         assertEquals(2, decisions.admissions().get(0).tasks().get("m-1").length);
         assertEquals(18, decisions.waiting().get(0).tasks());
--- a/src/test/java/org/weldcourse/app/ServiceTest.java
+++ b/src/test/java/org/weldcourse/app/ServiceTest.java
@@ -781,8 +781,9 @@
     void anAimForTheStartOfArraysRentsNoMoreForThem() {
         // What arrays have themselves was taken for what others would take from them, and machines were rented anew.
         List<Integer> rented = new ArrayList<>();
-        for (List<Settings.Objective> aims : List.of(List.<Settings.Objective>of(),
-                List.of(new Settings.Objective("wait", "any", 60_000_000, 0.9, 1)))) {
+        Settings.Objective end = new Settings.Objective("deadline", "any", 0, 0.9, 1);
+        Settings.Objective start = new Settings.Objective("wait", "any", 200_000_000, 0.9, 1);
+        for (List<Settings.Objective> aims : List.of(List.of(end), List.of(end, start))) {
             World world = new World(1, aims);
             world.time.passSeconds(2);
             for (int i = 0; i < 30; i++) {
