--- a/src/main/java/org/weldcourse/app/Node.java
+++ b/src/main/java/org/weldcourse/app/Node.java
@@ -8,6 +8,7 @@
 import org.weldcourse.http.NettyCaller;
 import org.weldcourse.http.Server;
 import org.weldcourse.peers.PeerNet;
+import org.weldcourse.runtime.Clock;
 import org.weldcourse.runtime.Loop;
 import org.weldcourse.settings.Settings;
 import org.weldcourse.settings.Tuning;
@@ -24,6 +25,7 @@
 
     private final Settings settings;
     private final EventLoop eventLoop;
+    private final Clock clock;
     private final Controller controller;
     private final Server server;
 
@@ -31,6 +33,7 @@
         this.settings = settings;
         this.eventLoop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
         Loop loop = new Loop(eventLoop);
+        this.clock = loop;
         NettyCaller caller = new NettyCaller(eventLoop, this::idleSockets);
         this.controller = new Controller(settings, tuning, caller, loop, loop);
         int forOthers = settings.maxSockets() - settings.ownSockets();
@@ -47,7 +50,7 @@
 
     public void start() throws InterruptedException {
         server.listen(settings.listenAddress());
-        PeerNet peerNet = new PeerNet(eventLoop, controller.peers());
+        PeerNet peerNet = new PeerNet(eventLoop, clock, controller.peers());
         peerNet.listen(settings.peerAddress());
         settings.peers().forEach(peerNet::speakTo);
         eventLoop.execute(controller::start);
--- a/src/main/java/org/weldcourse/peers/PeerNet.java
+++ b/src/main/java/org/weldcourse/peers/PeerNet.java
@@ -20,6 +20,7 @@
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 import org.weldcourse.http.HostPort;
+import org.weldcourse.runtime.Clock;
 import org.weldcourse.settings.Settings;
 
 /**
@@ -35,10 +36,12 @@
     private static final long RETRY_MICROS = 150_000;
 
     private final EventLoop loop;
+    private final Clock clock;
     private final Peers peers;
 
-    public PeerNet(EventLoop loop, Peers peers) {
+    public PeerNet(EventLoop loop, Clock clock, Peers peers) {
         this.loop = loop;
+        this.clock = clock;
         this.peers = peers;
     }
 
@@ -125,7 +128,10 @@
                 if (future.isSuccess()) {
                     stood = true;
                     refusals = 0;
-                    connecting.channel().closeFuture().addListener(closed -> again(0));
+                    long sinceMicros = clock.nowMicros();
+                    // One that ends as soon as it stands would else be opened anew without a pause.
+                    connecting.channel().closeFuture().addListener(closed ->
+                            again(clock.nowMicros() - sinceMicros < BEAT_MICROS ? RETRY_MICROS : 0));
                     speak(connecting.channel());
                     return;
                 }
