--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.LongStream;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.weldcourse.admission.Snapshot.JobView;
@@ -575,20 +576,33 @@
     }
 
     /**
-     * For each aim of the job's class until when it has to be admitted, the soonest first: later than that the aim is missed
-     * for certain. Of the time for a start, orders and images take a part; an array that has begun has kept it or not.
+     * Until when the job has to be admitted to keep each of its class's aims for the start, and the last one for its end, the
+     * soonest first: later than that the aim is missed for certain. Of the time for a start, orders and images take a
+     * part; an array that has begun has kept it or not.
      */
     private long[] admitByMicros(Job job, boolean begun) {
-        long runMicros = board.runTimes.expectedMicros(job);
-        return parts.settings().objectives().stream()
-                .filter(aim -> aim.jobClass().equals(job.spec.jobClass()))
-                .filter(aim -> !aim.kind().equals("wait") || job.spec.gang() || !begun)
-                .filter(aim -> !aim.kind().equals("deadline") || job.spec.deadlineMicros() > 0)
-                .mapToLong(aim -> job.acceptedMicros + switch (aim.kind()) {
-                    case "wait" -> aim.withinMicros() * 3 / 4;
-                    case "finished" -> aim.withinMicros() - runMicros;
-                    default -> (long) (job.spec.deadlineMicros() * Math.max(1, aim.times())) - runMicros;
-                }).sorted().toArray();
+        long endByMicros = 0;
+        LongStream.Builder admitBy = LongStream.builder();
+        for (Settings.Objective aim : parts.settings().objectives()) {
+            if (!aim.jobClass().equals(job.spec.jobClass())) {
+                continue;
+            }
+            switch (aim.kind()) {
+                case "wait" -> {
+                    if (job.spec.gang() || !begun) {
+                        admitBy.add(job.acceptedMicros + aim.withinMicros() * 3 / 4);
+                    }
+                }
+                case "finished" -> endByMicros = Math.max(endByMicros, aim.withinMicros());
+                case "deadline" -> endByMicros =
+                        Math.max(endByMicros, (long) (job.spec.deadlineMicros() * Math.max(1, aim.times())));
+                default -> { }
+            }
+        }
+        if (endByMicros > 0) {
+            admitBy.add(job.acceptedMicros + endByMicros - board.runTimes.expectedMicros(job));
+        }
+        return admitBy.build().sorted().toArray();
     }
 
     /** Jobs that must start sooner come first; those without any time to keep to come by age. */
