--- a/src/main/java/org/weldcourse/settings/SettingsFile.java
+++ b/src/main/java/org/weldcourse/settings/SettingsFile.java
@@ -12,6 +12,11 @@
 
 /** Reads the platform's TOML file. Unknown fields are ignored; what is missing or invalid is named. */
 public final class SettingsFile {
+    /** A quarter is for the node's own calls: watches, renewals, the other controllers, and some for requests. */
+    private static final int LEAST_SOCKETS = 40;
+    /** The largest heap that the service is started with, and what the machine below it takes. */
+    private static final int LEAST_MEMORY_MB = 110;
+
     private SettingsFile() {
     }
 
@@ -42,6 +47,9 @@
         UnmodifiableConfig state = table(deployment, "state");
         UnmodifiableConfig cloud = table(deployment, "cloud");
         UnmodifiableConfig endpoints = table(root, "endpoints");
+        UnmodifiableConfig quota = table(deployment, "quota");
+        atLeast(quota, "max_sockets", positive(quota, "max_sockets"), LEAST_SOCKETS);
+        atLeast(quota, "memory_mb", optional(quota, "memory_mb", LEAST_MEMORY_MB), LEAST_MEMORY_MB);
         List<Settings.Peer> peers = new ArrayList<>();
         for (UnmodifiableConfig peer : tables(root, "known")) {
             peers.add(new Settings.Peer(text(peer, "host_name"), text(peer, "site"), address(peer, "address")));
@@ -66,7 +74,15 @@
                 new Settings.State(positive(state, "rps"), positive(state, "write_rps"),
                         (int) (positive(state, "value_kb") * 1024), (int) positive(state, "txn_ops")),
                 new Settings.Cloud(positive(cloud, "rps"), micros(number(cloud, "list_lag_s"))),
-                (int) positive(table(deployment, "quota"), "max_sockets"));
+                (int) positive(quota, "max_sockets"));
+    }
+
+    /** With less a controller would start, and end or refuse everybody as soon as there is work. */
+    private static void atLeast(UnmodifiableConfig from, String name, double number, double least) throws Invalid {
+        if (number < least) {
+            throw new Invalid(name + " = " + from.get(List.of(name)) + " is too small to serve with: at least "
+                    + (int) least + " is needed");
+        }
     }
 
     private static long micros(double seconds) {
--- a/src/test/java/org/weldcourse/settings/SettingsTest.java
+++ b/src/test/java/org/weldcourse/settings/SettingsTest.java
@@ -41,6 +41,8 @@
                 {"report_s = 1.5", "", "report_s"}, {"report_s = 1.5", "report_s = 0", "report_s"},
                 {"api_addr = \"10.0.0.1:80\"", "api_addr = \"here\"", "api_addr"},
                 {"[endpoints]", "[elsewhere]", "endpoints"}, {"txn_ops = 8", "txn_ops = \"x\"", "txn_ops"},
+                {"max_sockets = 500", "max_sockets = 20", "max_sockets = 20 is too small"},
+                {"max_sockets = 500", "max_sockets = 500\nmemory_mb = 64.0", "memory_mb = 64.0 is too small"},
                 {"host_name = \"n-1\"", "host_name = ", "TOML"}}) {
             SettingsFile.Invalid invalid = assertThrows(SettingsFile.Invalid.class,
                     () -> SettingsFile.parse(new StringReader(FILE.replace(change[0], change[1]))));
