--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -52,6 +52,8 @@
     private static final double DUE_SHARE = 0.85;
     /** How far ahead arrays are booked, in reports: about the time until a machine could be told otherwise. */
     private static final double AHEAD_REPORTS = 0.75;
+    /** How long a place stays empty between two tasks, in reports, for the fleet plan: bells and booking ahead shorten it. */
+    private static final double GAP_REPORTS = 0.5;
     private static final long STATUS_MICROS = 30_000_000;
     private static final long LEAST_RUN_MICROS = 1_000_000;
     private static final long CANCEL_MARGIN_MICROS = 3_000_000;
@@ -569,7 +571,8 @@
                 Job job = board.jobs.get(spec.id());
                 needs.add(new FleetPlanner.Need(spec, item.tasks(),
                         Math.max(LEAST_RUN_MICROS, board.runTimes.expectedMicros(job)),
-                        dueMicros(job), item.freeByZone()));
+                        (long) (parts.settings().workers().reportMicros() * GAP_REPORTS), dueMicros(job),
+                        item.freeByZone()));
             }
         }
         return needs;
--- a/src/main/java/org/weldcourse/fleet/FleetPlanner.java
+++ b/src/main/java/org/weldcourse/fleet/FleetPlanner.java
@@ -39,12 +39,13 @@
     }
 
     /**
-     * Tasks that wait, in order of importance, each expected to run so long, all of them due at a time. A gang waits for
-     * all its places, of which {@code freeByZone} are there.
+     * Tasks that wait, in order of importance, each expected to run so long, with such a gap from one to the next on its
+     * place, all of them due at a time. A gang waits for all its places, of which {@code freeByZone} are there.
      */
-    public record Need(JobSpec job, int tasks, long runMicros, long dueMicros, Map<String, Integer> freeByZone) {
+    public record Need(JobSpec job, int tasks, long runMicros, long gapMicros, long dueMicros,
+            Map<String, Integer> freeByZone) {
         public Need(JobSpec job, int tasks, long runMicros, long dueMicros) {
-            this(job, tasks, runMicros, dueMicros, Map.of());
+            this(job, tasks, runMicros, 0, dueMicros, Map.of());
         }
     }
 
@@ -72,8 +73,10 @@
 
         /** Work of the need that it can do by the time it is due. */
         double offers(Need need, long dueMicros) {
-            // Tasks can't be split: a window of two and a half runs is worth two.
-            long runs = (dueMicros - host.availableAtMicros()) / need.runMicros();
+            // A new machine has no image yet; and tasks can't be split: a window of two and a half runs is worth two.
+            long fetchMicros = !host.booting() ? 0
+                    : (long) (need.job().imageGb() / Math.max(0.01, host.type().fetchGbPerSecond()) * 1e6);
+            long runs = (dueMicros - host.availableAtMicros() - fetchMicros) / (need.runMicros() + need.gapMicros());
             if (!allowed(need.job(), host) || runs <= 0) {
                 return 0;
             }
