--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -54,6 +54,8 @@
     private static final double AHEAD_REPORTS = 0.75;
     /** How long a place stays empty between two tasks, in reports, for the fleet plan: bells and booking ahead shorten it. */
     private static final double GAP_REPORTS = 0.5;
+    /** Cycles that begin this late show that the processor does not keep up. */
+    private static final long PRESSED_MICROS = 100_000;
     private static final long STATUS_MICROS = 30_000_000;
     private static final long LEAST_RUN_MICROS = 1_000_000;
     private static final long CANCEL_MARGIN_MICROS = 3_000_000;
@@ -643,7 +645,8 @@
             }
             machine.unsaid = reconciler.wantsBell(machine);
             List<Order> orders = new ArrayList<>();
-            Order bell = machine.unsaid ? reconciler.bell(machine) : null;
+            // A bell costs a message and another report: short of time, the machine's own next report will do.
+            Order bell = machine.unsaid && lateMicros() < PRESSED_MICROS ? reconciler.bell(machine) : null;
             if (bell != null) {
                 orders.add(bell);
             }
--- a/src/main/java/org/weldcourse/runtime/Duty.java
+++ b/src/main/java/org/weldcourse/runtime/Duty.java
@@ -15,6 +15,7 @@
     private final Timers timers;
     private Timers.Timer next;
     private long dueMicros;
+    private long lateMicros;
     private boolean running;
     protected final Clock clock;
 
@@ -45,6 +46,11 @@
         return running;
     }
 
+    /** How much later than due this step began: what the process is short of. */
+    protected final long lateMicros() {
+        return lateMicros;
+    }
+
     /** Makes sure that a step comes within the given time; an earlier one that is due already stands. */
     public final void wakeIn(long delayMicros) {
         if (!running) {
@@ -66,6 +72,7 @@
         if (!running) {
             return;
         }
+        lateMicros = clock.nowMicros() - dueMicros;
         long pauseMicros;
         try {
             pauseMicros = step();
--- a/src/test/java/org/weldcourse/app/ServiceTest.java
+++ b/src/test/java/org/weldcourse/app/ServiceTest.java
@@ -826,4 +826,33 @@
             assertTrue(world.starts.values().stream().allMatch(count -> count == 1), world.starts.toString());
         }
     }
+
+    @Test
+    void aLeaderThatIsLateRingsNoBells() {
+        // Ringing brings starts forward by a report at most, and costs as much as answering one.
+        int[] rung = new int[2];
+        for (int late = 0; late < 2; late++) {
+            World world = settled(1);
+            world.cloud.unexpected("large", "a", false);
+            world.cloud.capacity = 1;
+            world.time.passSeconds(6);
+            world.submit("n0", jobBody("req-000056", "beads", 1));
+            assertTrue(world.reaches("n0", "req-000056", "done", 60));
+            world.time.passSeconds(2);
+            FakeWorker worker = world.workers.values().iterator().next();
+            world.submit("n0", jobBody("req-000057", "beads", 1));
+            int before = worker.direct();
+            for (int i = 0; i < 8; i++) {
+                if (late == 1) {
+                    world.freezeNode("n0");
+                }
+                world.time.pass(120_000);
+                world.thawNode("n0");
+            }
+            rung[late] = worker.direct() - before;
+            assertTrue(world.reaches("n0", "req-000057", "done", 60));
+        }
+        assertEquals(1, rung[0]);
+        assertEquals(0, rung[1]);
+    }
 }
--- a/src/test/java/org/weldcourse/rehearsal/FakeWorker.java
+++ b/src/test/java/org/weldcourse/rehearsal/FakeWorker.java
@@ -42,6 +42,7 @@
     private long session = 1;
     private long sequence;
     private long token;
+    private int direct;
     private long answeredSentMicros;
     private int target;
     private boolean alive = true;
@@ -185,6 +186,11 @@
         carryOut(Json.list(body.get("orders")));
     }
 
+    /** How many messages came to it directly and were carried out. */
+    public int direct() {
+        return direct;
+    }
+
     private Map<String, Object> body() {
         List<Object> list = new ArrayList<>();
         beads.forEach((task, bead) -> {
@@ -262,6 +268,7 @@
             return;
         }
         token = Json.integer(body, "torch", 0);
+        direct++;
         carryOut(Json.list(body.get("orders")));
         reply.send(200, body());
     }
