--- a/src/test/java/org/weldcourse/fleet/FleetPlannerTest.java
+++ b/src/test/java/org/weldcourse/fleet/FleetPlannerTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.weldcourse.fleet.FleetPlanner.Host;
@@ -84,4 +85,14 @@
         assertEquals(0, FleetPlanner.plan(List.of(gang), hosts, List.of(LARGE), Set.of(), 30, 0).size());
         assertEquals(3, FleetPlanner.plan(List.of(gang, gang), hosts, List.of(LARGE), Set.of(), 30, 0).get(0).count());
     }
+
+    @Test
+    void gapsBetweenTasksAndTheFirstFetchTakeTheirTime() throws Exception {
+        // 60 s hold six runs of 10 s, but three when each waits as long for the next.
+        assertEquals(0, rented(new Need(job(), 40, 10 * SECOND, 60 * SECOND), up(0, 0)));
+        assertTrue(rented(new Need(job(), 40, 10 * SECOND, 10 * SECOND, 60 * SECOND, Map.of()), up(0, 0)) > 0);
+        Host booting = new Host(LARGE, "a", true, true, 10 * SECOND, 0, new double[4]);
+        assertEquals(0, rented(new Need(job("size_gb", 1.0), 8, 10 * SECOND, 45 * SECOND), booting));
+        assertTrue(rented(new Need(job("size_gb", 30.0), 8, 10 * SECOND, 45 * SECOND), booting) > 0);
+    }
 }
