--- a/src/main/java/org/weldcourse/fleet/FleetPlanner.java
+++ b/src/main/java/org/weldcourse/fleet/FleetPlanner.java
@@ -23,6 +23,8 @@
 
     private static final double[] NOTHING_TAKEN = new double[JobSpec.Rank.values().length];
 
+    private static final long NEVER = Long.MAX_VALUE;
+
     private FleetPlanner() {
     }
 
@@ -47,6 +49,15 @@
         public Need(JobSpec job, int tasks, long runMicros, long dueMicros) {
             this(job, tasks, runMicros, 0, dueMicros, Map.of());
         }
+
+        long fetchMicros(MachineType type) {
+            return (long) (job.imageGb() / Math.max(0.01, type.fetchGbPerSecond()) * 1e6);
+        }
+
+        /** How long after its rental a machine of this type has done its first run. */
+        long firstRunMicros(MachineType type) {
+            return type.bootMicros() + fetchMicros(type) + runMicros + gapMicros;
+        }
     }
 
     public record Rental(Offer offer, int count) {
@@ -74,8 +85,7 @@
         /** Work of the need that it can do by the time it is due. */
         double offers(Need need, long dueMicros) {
             // A new machine has no image yet; and tasks can't be split: a window of two and a half runs is worth two.
-            long fetchMicros = !host.booting() ? 0
-                    : (long) (need.job().imageGb() / Math.max(0.01, host.type().fetchGbPerSecond()) * 1e6);
+            long fetchMicros = host.booting() ? need.fetchMicros(host.type()) : 0;
             long runs = (dueMicros - host.availableAtMicros() - fetchMicros) / (need.runMicros() + need.gapMicros());
             if (!allowed(need.job(), host) || runs <= 0) {
                 return 0;
@@ -128,7 +138,7 @@
                 continue;
             }
             int missing = missing(need, zone, supplies);
-            Choice choice = missing > 0 ? best(need, zone, types, refused, Long.MAX_VALUE, nowMicros) : null;
+            Choice choice = missing > 0 ? best(need, zone, types, refused, NEVER, nowMicros) : null;
             double cost = missing <= 0 ? 0 : choice == null ? Double.POSITIVE_INFINITY : missing * choice.cost;
             if (cost < bestCost) {
                 best = zone;
@@ -166,7 +176,7 @@
             Set<Offer> refused, int mostMachines, long nowMicros, List<Offer> chosen) {
         int left = takeSlots(need, zone, need.tasks(), supplies);
         while (left > 0 && chosen.size() < mostMachines) {
-            Choice best = best(need, zone, types, refused, Long.MAX_VALUE, nowMicros);
+            Choice best = best(need, zone, types, refused, NEVER, nowMicros);
             if (best == null) {
                 return;
             }
@@ -236,12 +246,12 @@
     private static long soonest(Need need, List<MachineType> types, Set<Offer> refused, long nowMicros) {
         Choice quickest = null;
         for (Choice choice : choices(need, types, refused)) {
-            if (quickest == null || choice.type.bootMicros() < quickest.type.bootMicros()) {
+            if (quickest == null || need.firstRunMicros(choice.type) < need.firstRunMicros(quickest.type)) {
                 quickest = choice;
             }
         }
-        return quickest == null ? nowMicros
-                : nowMicros + quickest.type.bootMicros() * 5 / 4 + need.runMicros() * 6 / 5;
+        return quickest == null ? nowMicros : nowMicros + need.firstRunMicros(quickest.type)
+                + quickest.type.bootMicros() / 4 + need.runMicros() / 5;
     }
 
     private record Choice(Offer offer, MachineType type, double cost) {
@@ -276,7 +286,7 @@
             long nowMicros) {
         return choices(need, types, refused).stream()
                 .filter(choice -> zone == null || zone.equals(choice.offer.zone()))
-                .filter(choice -> nowMicros + choice.type.bootMicros() + need.runMicros() <= dueMicros)
+                .filter(choice -> dueMicros == NEVER || nowMicros + need.firstRunMicros(choice.type) <= dueMicros)
                 .min(Comparator.comparingDouble((Choice choice) -> choice.cost)
                         .thenComparing(choice -> choice.offer.toString()))
                 .orElse(null);
