--- a/src/test/java/org/weldcourse/admission/PlannerTest.java
+++ b/src/test/java/org/weldcourse/admission/PlannerTest.java
@@ -72,6 +72,7 @@
     @Test
     void whatKeepsItsAimComesBeforeWhatMissedItAndWhatIsOwedBeforeBoth() throws Exception {
         List<MachineView> one = List.of(machine("m-1"));
+        assertEquals(List.of("req-000002"), admitted(decide(PLENTY, one, gang(1, 1, 60), gang(2, 1, 2))));
         assertEquals(List.of("req-000002"), admitted(decide(PLENTY, one, gang(1, 1, 61), gang(2, 1, 2))));
         // One that can keep a later aim stands between them, small ones first.
         assertEquals(List.of("req-000002"), admitted(decide(PLENTY, one, gang(1, 1, 30), gang(2, 1, 2))));
