Leases of workers are renewed by what was read, not by the leader's lease; tests of meeting troubles

Cause, found by reading and by tests on the scripted world: renewals counted from the leader's last contact, and without bound while its own lease stood. With its reads hanging it renewed for ever; a successor that had read nothing renewed too; a machine that was to be returned while the cloud was down got answers without a halt; a direct halt skipped what was told to run and not yet shown; a cancelled job whose record was being read again was not halted. Now a renewal needs a whole read of the open jobs that was sent no longer ago than cancel - lease - 3 s (RenewalBound), and every answer halts what is known as cancelled. Also: what leaves a machine whose return is not confirmed is free; no run for a job that is being read again; the longest backoff is 60 s, as no job may wait for 90; a repeated submission of a job that was seen costs no change.

--- a/src/main/java/org/weldcourse/admission/Board.java
+++ b/src/main/java/org/weldcourse/admission/Board.java
@@ -17,7 +17,8 @@
     private static final Logger LOG = LoggerFactory.getLogger(Board.class);
     private static final int MACHINES_TO_BLAME_JOB = 3;
     private static final long FIRST_BACKOFF_MICROS = 5_000_000;
-    private static final long MOST_BACKOFF_MICROS = 120_000_000;
+    /** A job must not be left waiting for 90 s where there is room, be it for its own faults. */
+    private static final long MOST_BACKOFF_MICROS = 60_000_000;
     private static final long REFUSED_BACKOFF_MICROS = 1_000_000;
 
     public final Map<String, Job> jobs = new HashMap<>();
--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/RenewalBound.java
@@ -0,0 +1,40 @@
+package org.weldcourse.admission;
+
+import org.weldcourse.settings.Settings;
+
+/**
+ * Until when a leader may renew its workers' leases so that cancellations which it has not read of are still carried out
+ * in time.
+ *
+ * <p>Any node may confirm a cancellation, also while the state service refuses the leader alone. Let the leader's last
+ * complete read of the open jobs have been sent at {@code r}: what it does not know of was confirmed at {@code c >= r}. An
+ * answer to a worker that is given before {@code r + cancel - lease - margin} answers a report that was sent before that,
+ * so that without a further answer the worker's tasks are gone by {@code r + cancel - margin <= c + cancel - margin}. The
+ * leader's own lease proves nothing here: its renewals may go on while its reads hang. Whatever it did read of is halted
+ * in every answer, so that no renewal carries a cancelled task along.
+ */
+final class RenewalBound {
+    /**
+     * For the drift of two clocks over both spans (0.05% each: some 50 ms), and for a worker that looks at its lease, and
+     * ends what it has, a little late. Our own lateness needs none: a report is sent before it is answered.
+     */
+    static final long MARGIN_MICROS = 3_000_000;
+    private static final long NEVER = Long.MIN_VALUE;
+
+    private final long spanMicros;
+    private long readMicros = NEVER;
+
+    RenewalBound(Settings.Workers workers) {
+        this.spanMicros = workers.cancelMicros() - workers.leaseMicros() - MARGIN_MICROS;
+    }
+
+    /** All changes to open jobs up to this time are known: that of the sending of a read which was answered whole. */
+    void allReadAsOf(long sentMicros) {
+        readMicros = Math.max(readMicros, sentMicros);
+    }
+
+    /** Never before the first whole read: a predecessor may have used up all the time that there was. */
+    boolean allowAt(long nowMicros) {
+        return readMicros != NEVER && nowMicros - readMicros < spanMicros;
+    }
+}
--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -1,8 +1,10 @@
 package org.weldcourse.admission;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.weldcourse.fleet.Cloud;
@@ -39,15 +41,14 @@
     /** What a cycle leaves to check-ins and users before the next one, for each machine and job that it looks at. */
     private static final long PAUSE_EACH_MICROS = 200;
     private static final long RETRY_MICROS = 300_000;
-    /** Short enough that a watch which went silent costs a cancellation little of its time. */
-    private static final long WATCH_MICROS = 8_000_000;
+    /** Each watch that comes back shows that nothing is missing up to its sending, so they are short: see RenewalBound. */
+    private static final long WATCH_MICROS = 1_000_000;
     private static final long DIRECT_TIMEOUT_MICROS = 2_000_000;
     /** How far ahead arrays are booked, in reports: about the time until a machine could be told otherwise. */
     private static final double AHEAD_REPORTS = 0.75;
     /** Cycles that begin this late show that the processor does not keep up. */
     private static final long PRESSED_MICROS = 100_000;
     private static final long STATUS_MICROS = 30_000_000;
-    private static final long CANCEL_MARGIN_MICROS = 3_000_000;
 
     private final Parts parts;
     private final long token;
@@ -58,6 +59,9 @@
     private final FleetKeeper fleet;
     private final int mostTasksPerAdmission;
     private final long startedMicros;
+    private final RenewalBound renewals;
+    /** Open jobs whose own record can't be read: what else is on record of them is left as it is. */
+    private final Set<String> unreadable = new HashSet<>();
     private boolean loaded;
     private long nextStatusMicros;
     private long earliestCycleMicros;
@@ -79,6 +83,7 @@
         this.parts = parts;
         this.token = token;
         this.startedMicros = parts.clock().nowMicros();
+        this.renewals = new RenewalBound(parts.settings().workers());
         this.outlook = new Outlook(board, parts.settings());
         this.reconciler = new Reconciler(board, token, parts.settings().workers().leaseMicros());
         this.mostTasksPerAdmission = Recorder.mostTasksPerAdmission(parts.settings().state());
@@ -128,44 +133,66 @@
 
     // Reading the records
 
+    /** The open jobs first: what they show to be cancelled is all that answers to workers need for a start. */
     private void load() {
         if (!isRunning()) {
             return;
         }
-        parts.store().list(Keys.OPEN, open -> parts.store().list(Keys.SLICES, slices ->
-                parts.store().list(Keys.DONE_TASKS, done -> {
-                    if (!isRunning()) {
-                        return;
-                    }
-                    if (open.outcome() != Outcome.OK || slices.outcome() != Outcome.OK
-                            || done.outcome() != Outcome.OK) {
-                        parts.timers().after(RETRY_MICROS, this::load);
-                        return;
-                    }
-                    restore(open.entries(), slices.entries(), done.entries());
-                    loaded = true;
-                    LOG.info("token {}: took over {} open jobs, {} records, {} ms after its election", token,
-                            board.jobs.size(), slices.entries().size() + done.entries().size(),
-                            (clock.nowMicros() - startedMicros) / 1000);
-                    watch(open.revision());
-                    wakeIn(0);
-                })));
+        long sentMicros = clock.nowMicros();
+        parts.store().list(Keys.OPEN, open -> {
+            if (!isRunning()) {
+                return;
+            }
+            if (open.outcome() != Outcome.OK) {
+                parts.timers().after(RETRY_MICROS, this::load);
+                return;
+            }
+            openRead(open.entries(), sentMicros);
+            watch(open.revision());
+            loadRecords();
+        });
     }
 
-    private void restore(List<Store.Entry> open, List<Store.Entry> slices, List<Store.Entry> done) {
-        long nowMicros = clock.nowMicros();
+    private void loadRecords() {
+        if (!isRunning()) {
+            return;
+        }
+        parts.store().list(Keys.SLICES, slices -> parts.store().list(Keys.DONE_TASKS, done -> {
+            if (!isRunning()) {
+                return;
+            }
+            if (slices.outcome() != Outcome.OK || done.outcome() != Outcome.OK) {
+                parts.timers().after(RETRY_MICROS, this::loadRecords);
+                return;
+            }
+            restore(slices.entries(), done.entries());
+            loaded = true;
+            LOG.info("token {}: took over {} open jobs, {} records, {} ms after its election", token,
+                    board.jobs.size(), slices.entries().size() + done.entries().size(),
+                    (clock.nowMicros() - startedMicros) / 1000);
+            wakeIn(0);
+        }));
+    }
+
+    private void openRead(List<Store.Entry> open, long sentMicros) {
         for (Store.Entry entry : open) {
             jobWritten(entry.key(), entry.value(), entry.version());
         }
+        renewals.allReadAsOf(sentMicros);
+    }
+
+    private void restore(List<Store.Entry> slices, List<Store.Entry> done) {
+        long nowMicros = clock.nowMicros();
         List<String> orphans = new ArrayList<>();
         List<Store.Entry> records = new ArrayList<>(slices);
         records.addAll(done);
         for (Store.Entry entry : records) {
-            Job job = board.jobs.get(Keys.jobOf(entry.key()));
-            if (job == null) {
-                orphans.add(entry.key());
-            } else {
+            String id = Keys.jobOf(entry.key());
+            Job job = board.jobs.get(id);
+            if (job != null) {
                 restore(job, entry, () -> recorder.restore(job, entry));
+            } else if (!unreadable.contains(id)) {
+                orphans.add(entry.key());
             }
         }
         for (Store.Entry entry : slices) {
@@ -208,6 +235,7 @@
     }
 
     private void watch(long revision) {
+        long sentMicros = clock.nowMicros();
         parts.store().watch(Keys.OPEN, revision, WATCH_MICROS, events -> {
             if (!isRunning()) {
                 return;
@@ -218,6 +246,7 @@
                         jobWritten(event.key(), event.value(), event.version());
                     }
                 }
+                renewals.allReadAsOf(sentMicros);
                 if (!events.events().isEmpty()) {
                     soon();
                 }
@@ -235,14 +264,13 @@
         if (!isRunning()) {
             return;
         }
+        long sentMicros = clock.nowMicros();
         parts.store().list(Keys.OPEN, open -> {
             if (open.outcome() != Outcome.OK) {
                 parts.timers().after(RETRY_MICROS, this::readAgain);
                 return;
             }
-            for (Store.Entry entry : open.entries()) {
-                jobWritten(entry.key(), entry.value(), entry.version());
-            }
+            openRead(open.entries(), sentMicros);
             soon();
             watch(open.revision());
         });
@@ -294,8 +322,9 @@
                 JobSpec spec = JobCodec.spec(value);
                 long ageMicros = Math.max(0, clock.wallMicros() - JobCodec.acceptedWallMicros(value));
                 job = new Job(spec, version, clock.nowMicros() - ageMicros);
-            } catch (JobCodec.Malformed unreadable) {
-                LOG.error("{}: its record can't be read: {}", id, unreadable.getMessage());
+            } catch (JobCodec.Malformed malformed) {
+                LOG.error("{}: its record can't be read: {}", id, malformed.getMessage());
+                unreadable.add(id);
                 return;
             }
             board.jobs.put(id, job);
@@ -316,13 +345,10 @@
             reply.refuse(503, "cut off from the state service", 1);
             return;
         }
-        if (!loaded || fleet.isGone(report.machine())) {
-            reply.send(200, CheckinCodec.answer(token, List.of()));
-            return;
-        }
-        if (report.token() != token && !board.machines.containsKey(report.machine())) {
-            // A late copy may speak of a machine that is long gone; a machine that is there comes again with our token.
-            reply.send(200, CheckinCodec.answer(token, List.of()));
+        // A late copy may speak of a machine that is long gone; one that is there comes again with our token.
+        boolean stranger = report.token() != token && !board.machines.containsKey(report.machine());
+        if (!loaded || stranger || fleet.isGone(report.machine())) {
+            reply.send(200, CheckinCodec.answer(token, reconciler.haltsOfCancelled(report)));
             return;
         }
         Machine machine = board.machine(report.machine(), nowMicros);
@@ -338,21 +364,12 @@
 
     /**
      * Without its lease a leader may keep work alive only while the others say that the state service serves none of
-     * them: else a successor may wait for its workers. And even then, after the outage a successor may have told a user
-     * that a job is cancelled: early enough before that job must be gone, the workers' own leases have to start running
-     * out.
+     * them: else a successor may wait for its workers. And with or without it, no longer than a cancellation that it has
+     * not read of leaves time for.
      */
     private boolean mayRenewWorkers(long nowMicros) {
-        if (nowMicros < parts.leadership().leaseEndMicros()) {
-            return true;
-        }
-        if (!parts.outage().isShared()) {
-            return false;
-        }
-        long lastContactMicros = parts.leadership().leaseEndMicros() - parts.tuning().stateLeaseMicros();
-        Settings.Workers workers = parts.settings().workers();
-        long extraMicros = workers.cancelMicros() - workers.leaseMicros() - CANCEL_MARGIN_MICROS;
-        return nowMicros < lastContactMicros + extraMicros;
+        return renewals.allowAt(nowMicros)
+                && (nowMicros < parts.leadership().leaseEndMicros() || parts.outage().isShared());
     }
 
     // The cycle
@@ -420,13 +437,16 @@
             board.jobs.remove(job.spec.id());
             return;
         }
+        if (job.cancelled) {
+            // Whatever else is unclear about it: nothing of it may go on.
+            board.evict(job, 0);
+        }
         if (job.stale) {
             return;
         }
         if (job.allDone()) {
             recorder.close(job);
         } else if (job.cancelled) {
-            board.evict(job, 0);
             if (job.bookings.isEmpty()) {
                 recorder.close(job);
             }
@@ -559,7 +579,8 @@
                 if (orders.size() >= Reconciler.MOST_ORDERS) {
                     break;
                 }
-                if (booking.stop && booking.seen && !booking.haltSent) {
+                // What was told to run may be there before any report shows it, and none may come.
+                if (booking.stop && (booking.seen || booking.runSent) && !booking.haltSent) {
                     booking.haltSent = true;
                     orders.add(Order.halt(booking.name, booking.attempt, booking.graceMicros));
                 }
--- a/src/main/java/org/weldcourse/jobs/JobApi.java
+++ b/src/main/java/org/weldcourse/jobs/JobApi.java
@@ -84,7 +84,13 @@
             });
             return;
         }
-        put(spec, clock.wallMicros(), MOST_TRIES, counted);
+        Runnable put = () -> put(spec, clock.wallMicros(), MOST_TRIES, counted);
+        if (view.hasSeen(spec.id()) || finals != null && finals.getIfPresent(spec.id()) != null) {
+            // A repeat: a write whose conditions fail would cost as much as any other.
+            lookUp(spec.id(), counted, put);
+        } else {
+            put.run();
+        }
     }
 
     private void put(JobSpec spec, long nowWallMicros, int tries, Reply reply) {
--- a/src/main/java/org/weldcourse/jobs/JobView.java
+++ b/src/main/java/org/weldcourse/jobs/JobView.java
@@ -58,6 +58,11 @@
         return waiting.size() >= MOST_WAITING;
     }
 
+    /** Whether the job was open when this was last read: a hint, not an answer. */
+    boolean hasSeen(String id) {
+        return cancelledByJob.containsKey(id);
+    }
+
     /** Answers once the view is known to be no older than this call. */
     void ask(String id, Then then) {
         waiting.add(new Waiting(id, then));
--- a/src/main/java/org/weldcourse/workers/Reconciler.java
+++ b/src/main/java/org/weldcourse/workers/Reconciler.java
@@ -40,13 +40,13 @@
     }
 
     public Result report(Machine machine, Report report, boolean mayStart, long nowMicros) {
-        if (!machine.newer(report) || machine.released) {
+        if (!machine.newer(report)) {
             return Result.NOTHING;
         }
         if (report.token() != token) {
             // Older than this term, if only by the way it took: it may speak of a machine long gone. The answer
             // brings our token, and what the worker then says counts.
-            return Result.NOTHING;
+            return new Result(haltsOfCancelled(report), false);
         }
         boolean newSession = report.session() > machine.session;
         if (newSession && machine.session > 0 && nowMicros - machine.heardMicros < leaseMicros) {
@@ -79,7 +79,23 @@
             // Without an answer since then this session would be over.
             machine.answerArrived();
         }
-        return new Result(orders(machine, mayStart && !machine.isDeaf()), changed);
+        // A machine whose return the cloud did not confirm goes on: it starts nothing more, but what leaves it is free.
+        return new Result(orders(machine, mayStart && !machine.isDeaf() && !machine.released), changed);
+    }
+
+    /**
+     * For an answer to a report that teaches nothing: it renews the worker's lease all the same, and no renewal may carry a
+     * cancelled task along. To halt an attempt of a cancelled job is right however old the report.
+     */
+    public List<Order> haltsOfCancelled(Report report) {
+        List<Order> orders = new ArrayList<>();
+        for (Report.Task task : report.tasks()) {
+            Job job = board.jobs.get(task.name().job());
+            if (job != null && job.cancelled && task.state() != Report.State.EXITED && orders.size() < MOST_ORDERS) {
+                orders.add(Order.halt(task.name(), task.attempt(), 0));
+            }
+        }
+        return orders;
     }
 
     private static boolean notice(Machine machine, Report report, long nowMicros) {
@@ -181,6 +197,10 @@
             if (!booking.seen) {
                 continue;
             }
+            // Not only after the cycle that asks for its end: the answer at hand renews the worker's lease.
+            if (booking.job.cancelled) {
+                booking.requestStop(0);
+            }
             if (booking.stop && orders.size() < MOST_ORDERS) {
                 orders.add(Order.halt(booking.name, booking.attempt, booking.graceMicros));
                 booking.haltSent = true;
@@ -202,7 +222,8 @@
         MachineType type = machine.type;
         double slack = MachineType.EPSILON;
         for (Booking booking : machine.bookings.values()) {
-            if (booking.seen || booking.stop || !booking.persisted || booking.job.cancelled || booking.job.closed) {
+            if (booking.seen || booking.stop || !booking.persisted || booking.job.cancelled || booking.job.closed
+                    || booking.job.stale) {
                 continue;
             }
             JobSpec spec = booking.job.spec;
--- /dev/null
+++ b/src/test/java/org/weldcourse/admission/RenewalBoundTest.java
@@ -0,0 +1,38 @@
+package org.weldcourse.admission;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.weldcourse.settings.Settings;
+
+class RenewalBoundTest {
+    private final Settings.Workers workers = new Settings.Workers(1_000_000, 10_000_000, 40_000_000, 4_000_000, 35_000_000);
+    private final RenewalBound bound = new RenewalBound(workers);
+
+    @Test
+    void nothingIsRenewedBeforeTheFirstWholeRead() {
+        assertFalse(bound.allowAt(0));
+        assertFalse(bound.allowAt(Long.MAX_VALUE));
+    }
+
+    @Test
+    void theLastRenewalLeavesTimeForWhatWasConfirmedJustAfterTheRead() {
+        long readMicros = 5_000_000;
+        bound.allReadAsOf(readMicros);
+        long lastMicros = readMicros + 35_000_000 - 10_000_000 - RenewalBound.MARGIN_MICROS - 1;
+        assertTrue(bound.allowAt(lastMicros));
+        assertFalse(bound.allowAt(lastMicros + 1));
+        // What was confirmed in the moment of the read is gone in time, though clocks drift by 0.05% the wrong way.
+        double goneMicros = lastMicros + 10_000_000 * 1.0005;
+        assertTrue(goneMicros * 1.0005 < readMicros + 35_000_000);
+    }
+
+    @Test
+    void anOlderReadThatEndsLaterTakesNothingBack() {
+        bound.allReadAsOf(9_000_000);
+        bound.allReadAsOf(2_000_000);
+        assertTrue(bound.allowAt(9_000_000 + 21_999_999));
+        assertFalse(bound.allowAt(9_000_000 + 22_000_000));
+    }
+}
--- a/src/test/java/org/weldcourse/rehearsal/FakeCloud.java
+++ b/src/test/java/org/weldcourse/rehearsal/FakeCloud.java
@@ -17,7 +17,7 @@
     }
 
     private final FakeTime time;
-    private final long bootMicros;
+    public long bootMicros;
     private final Consumer<Rented> up;
     private final Consumer<String> gone;
     private final TreeMap<String, Rented> machines = new TreeMap<>();
@@ -27,6 +27,7 @@
     private boolean down;
     private boolean nonsense;
     public int capacity = 100;
+    private int refused;
     public final List<String> released = new ArrayList<>();
 
     public FakeCloud(FakeTime time, long bootMicros, Consumer<Rented> up, Consumer<String> gone) {
@@ -45,6 +46,11 @@
         down = isDown;
     }
 
+    /** How many calls it refused while it was down. */
+    public int refused() {
+        return refused;
+    }
+
     public Set<String> machines() {
         return new HashSet<>(machines.keySet());
     }
@@ -70,6 +76,7 @@
     @Override
     public void handle(Server.Request request, Server.Reply reply) {
         if (down) {
+            refused++;
             reply.send(503, Json.of("error", "trouble"));
             return;
         }
--- a/src/test/java/org/weldcourse/rehearsal/FakeNet.java
+++ b/src/test/java/org/weldcourse/rehearsal/FakeNet.java
@@ -16,6 +16,35 @@
     private final Map<String, Server.Handler> hosts = new HashMap<>();
     private final Set<String> cuts = new HashSet<>();
     private final Set<String> deaf = new HashSet<>();
+    private final Set<String> refusals = new HashSet<>();
+    private final Map<String, Long> slowMicros = new HashMap<>();
+    private Fates fates = (from, call) -> NORMAL;
+
+    /** What becomes of a call: normal, carried out at once with its answer lost, or after so long with no answer. */
+    public interface Fates {
+        long of(String from, Caller.Call call);
+    }
+
+    public static final long NORMAL = -1;
+    public static final long ANSWER_LOST = 0;
+
+    public void fates(Fates newFates) {
+        fates = newFates;
+    }
+
+    /** One caller alone gets 503 from an address; the watches that it has open there wait. */
+    public void refuse(String from, String to, boolean refused) {
+        if (refused) {
+            refusals.add(from + ">" + to);
+        } else {
+            refusals.remove(from + ">" + to);
+        }
+    }
+
+    /** Every call to the address takes so much longer to arrive. */
+    public void slow(String to, long micros) {
+        slowMicros.put(to, micros);
+    }
 
     public FakeNet(FakeTime time) {
         this.time = time;
@@ -50,9 +79,16 @@
     public Caller caller(String from) {
         return (call, done) -> {
             boolean[] finished = new boolean[1];
+            String way = from + ">" + call.address();
+            long fate = fates.of(from, call);
             time.after(call.timeoutMicros(), () -> finish(finished, done, Caller.Answer.NONE));
-            time.after(TRIP_MICROS, () -> {
-                if (cuts.contains(from + ">" + call.address())) {
+            long tripMicros = TRIP_MICROS + slowMicros.getOrDefault(call.address(), 0L) + Math.max(0, fate);
+            time.after(tripMicros, () -> {
+                if (cuts.contains(way)) {
+                    return;
+                }
+                if (refusals.contains(way)) {
+                    finish(finished, done, new Caller.Answer(503, Map.of()));
                     return;
                 }
                 Server.Handler handler = hosts.get(call.address());
@@ -70,7 +106,9 @@
                             }
                             Map<String, Object> copy = Json.objectOrEmpty(bytes);
                             time.after(TRIP_MICROS, () -> {
-                                if (!deaf.contains(from) && !cuts.contains(from + ">" + call.address())) {
+                                boolean lost = deaf.contains(from) || cuts.contains(way) || fate >= 0
+                                        || refusals.contains(way) && call.path().startsWith("/watch");
+                                if (!lost) {
                                     finish(finished, done, new Caller.Answer(status, copy));
                                 }
                             });
--- a/src/test/java/org/weldcourse/rehearsal/FakeState.java
+++ b/src/test/java/org/weldcourse/rehearsal/FakeState.java
@@ -45,6 +45,7 @@
             leaseEnds.replaceAll((lease, end) -> time.nowMicros() + leaseTtls.get(lease));
         }
         down = isDown;
+        wakeWatchers();
     }
 
     public Map<String, Object> value(String key) {
@@ -277,14 +278,22 @@
         look.run();
         if (!answered[0]) {
             watchers.add(look);
-            time.after(waitMicros, () -> {
-                if (!answered[0]) {
-                    answered[0] = true;
-                    watchers.remove(look);
-                    reply.send(200, Json.of("ledger", revision, "events", List.of()));
-                }
-            });
+            time.after(waitMicros, () -> close(answered, look, reply));
+        }
+    }
+
+    /** The watch has waited its time; in an outage it stays open. */
+    private void close(boolean[] answered, Runnable look, Server.Reply reply) {
+        if (answered[0]) {
+            return;
+        }
+        if (down) {
+            time.after(100_000, () -> close(answered, look, reply));
+            return;
         }
+        answered[0] = true;
+        watchers.remove(look);
+        reply.send(200, Json.of("ledger", revision, "events", List.of()));
     }
 
     private void wakeWatchers() {
--- a/src/test/java/org/weldcourse/rehearsal/FakeWorker.java
+++ b/src/test/java/org/weldcourse/rehearsal/FakeWorker.java
@@ -17,6 +17,8 @@
         void started(FakeWorker worker, String task, int attempt);
 
         void ended(FakeWorker worker, String task);
+
+        void completed(String task);
     }
 
     private static final class Bead {
@@ -47,6 +49,7 @@
     private int target;
     private boolean alive = true;
     private boolean frozen;
+    private final List<Runnable> waiting = new ArrayList<>();
     private long noticeEndsMicros = -1;
     private boolean inFlight;
     private long lastSentMicros = -1_000_000;
@@ -106,8 +109,32 @@
         report();
     }
 
+    /** It hangs: nothing on it goes on, and what comes for it waits until it does. */
     public void freeze(boolean isFrozen) {
         frozen = isFrozen;
+        if (!frozen) {
+            expire();
+            List<Runnable> held = new ArrayList<>(waiting);
+            waiting.clear();
+            held.forEach(Runnable::run);
+        }
+    }
+
+    private void whenAwake(Runnable work) {
+        if (frozen) {
+            waiting.add(work);
+        } else {
+            work.run();
+        }
+    }
+
+    /** Tasks whose worker was not answered within its lease are killed. */
+    private void expire() {
+        if (time.nowMicros() - answeredSentMicros > leaseMicros) {
+            new ArrayList<>(beads.keySet()).forEach(this::drop);
+            session++;
+            answeredSentMicros = time.nowMicros();
+        }
     }
 
     public void die() {
@@ -127,11 +154,7 @@
             return;
         }
         if (!frozen) {
-            if (time.nowMicros() - answeredSentMicros > leaseMicros) {
-                new ArrayList<>(beads.keySet()).forEach(this::drop);
-                session++;
-                answeredSentMicros = time.nowMicros();
-            }
+            expire();
             if (time.nowMicros() - lastSentMicros >= reportMicros) {
                 report();
             }
@@ -154,7 +177,7 @@
         long sentSession = session;
         Map<String, Object> body = body();
         reports.add(body);
-        caller.call(new Caller.Call(controllers.get(target), "POST", "/checkin", body, 4_000_000), answer -> {
+        caller.call(new Caller.Call(controllers.get(target), "POST", "/checkin", body, 4_000_000), answer -> whenAwake(() -> {
             inFlight = false;
             if (!alive || sentSession != session) {
                 return;
@@ -170,7 +193,7 @@
                 target = (target + 1) % controllers.size();
                 time.after(1_000_000, this::report);
             }
-        });
+        }));
     }
 
     private void answered(Map<String, Object> body, long sentMicros) {
@@ -241,11 +264,11 @@
         tasks.started(this, task, attempt);
         long runMicros = tasks.runMicros(task);
         if (runMicros < Long.MAX_VALUE) {
-            time.after(runMicros, () -> {
+            time.after(runMicros, () -> whenAwake(() -> {
                 if (beads.get(task) == fresh && fresh.heat.equals("running")) {
                     exit(task, fresh, runMicros < 0 ? "error" : "done");
                 }
-            });
+            }));
         }
         changed();
     }
@@ -254,11 +277,18 @@
         bead.heat = "exited";
         bead.cause = cause;
         tasks.ended(this, task);
+        if (cause.equals("done")) {
+            tasks.completed(task);
+        }
         changed();
     }
 
     @Override
     public void handle(Server.Request request, Server.Reply reply) {
+        whenAwake(() -> order(request, reply));
+    }
+
+    private void order(Server.Request request, Server.Reply reply) {
         Map<String, Object> body = Json.objectOrEmpty(request.body());
         if (!alive) {
             return;
--- a/src/test/java/org/weldcourse/rehearsal/World.java
+++ b/src/test/java/org/weldcourse/rehearsal/World.java
@@ -37,6 +37,11 @@
     public final Map<String, Long> runMicros = new HashMap<>();
     private final Map<String, FakeWorker> running = new HashMap<>();
     private final Map<String, Long> cancelledMicros = new HashMap<>();
+    private final Set<String> completed = new HashSet<>();
+    /** The latest that any node told of a job. */
+    private final Map<String, String> told = new HashMap<>();
+    private int startsAfterCancellation;
+    private int answers;
     private final Map<String, Controller> controllers = new LinkedHashMap<>();
     private final Map<String, StandStill> stills = new HashMap<>();
     private final Set<String> fromPeers = new HashSet<>();
@@ -86,6 +91,7 @@
                 }
             }
         }
+        checkCancelled();
         time.after(BEAT_MICROS, this::beat);
     }
 
@@ -127,6 +133,41 @@
         net.heal(name, STATE);
     }
 
+    /** The state service refuses this node alone. */
+    public void refuseState(String name, boolean refused) {
+        net.refuse(name, STATE, refused);
+    }
+
+    public void slowState(long micros) {
+        net.slow(STATE, micros);
+    }
+
+    /** The machine reaches no controller, while direct commands reach it. */
+    public void mute(String machine) {
+        addressByName.values().forEach(address -> net.cut(machine, address));
+    }
+
+    /** Lifts what {@link #mute} and {@link #deafen} did. */
+    public void heal(String machine) {
+        net.loseAnswers(machine, false);
+        addressByName.forEach((node, address) -> {
+            net.heal(machine, address);
+            net.heal(node, FakeWorker.address(machine));
+        });
+    }
+
+    public void healPeers(String name) {
+        fromPeers.remove(name);
+    }
+
+    public List<String> nodes() {
+        return new ArrayList<>(addressByName.keySet());
+    }
+
+    public List<String> alive() {
+        return new ArrayList<>(controllers.keySet());
+    }
+
     public void cutFromWorkers(String name) {
         workers.keySet().forEach(machine -> net.cut(machine, addressByName.get(name)));
     }
@@ -208,22 +249,71 @@
     }
 
     public Answer submit(String node, Map<String, Object> job) {
-        jobs.put(Json.text(job, "name_id"), Json.objectOrEmpty(Json.bytes(job)));
-        return ask(node, "POST", "/v1/jobs", Json.bytes(job));
+        String id = Json.text(job, "name_id");
+        jobs.put(id, Json.objectOrEmpty(Json.bytes(job)));
+        return heed(id, told.get(id), ask(node, "POST", "/v1/jobs", Json.bytes(job)));
     }
 
     public Answer poll(String node, String id) {
-        return ask(node, "GET", "/v1/jobs/" + id, new byte[0]);
+        return heed(id, told.get(id), ask(node, "GET", "/v1/jobs/" + id, new byte[0]));
     }
 
     public Answer withdraw(String node, String id) {
-        Answer answer = ask(node, "POST", "/v1/jobs/" + id + "/withdraw", new byte[0]);
-        if (answer.status() == 200 && "cancelled".equals(answer.state())) {
+        return heed(id, told.get(id), ask(node, "POST", "/v1/jobs/" + id + "/withdraw", new byte[0]));
+    }
+
+    /** Asks without waiting; what it hears is held against what was told before it asked. */
+    public void pollSoon(String node, String id) {
+        String before = told.get(id);
+        controllers.get(node).handle(new Server.Request("GET", "/v1/jobs/" + id, new byte[0]),
+                (status, body, retryAfterSeconds) -> {
+                    heed(id, before, new Answer(status, Json.objectOrEmpty(Json.bytes(body)), retryAfterSeconds));
+                    answers++;
+                });
+    }
+
+    /** How many questions that were asked without waiting have been answered. */
+    public int answers() {
+        return answers;
+    }
+
+    /** Fails when an answer is older than what was told before its question, or is not true. */
+    private Answer heed(String id, String before, Answer answer) {
+        if (answer.status() != 200 && answer.status() != 201) {
+            if (before != null && (answer.status() == 404 || answer.status() == 400 || answer.status() == 422)) {
+                throw new AssertionError("forgotten: " + id + " after " + before + ": " + answer);
+            }
+            return answer;
+        }
+        if (!jobs.containsKey(id)) {
+            throw new AssertionError("invented: " + id);
+        }
+        boolean over = "done".equals(answer.state()) || "cancelled".equals(answer.state());
+        if (before != null && !before.equals("open") && !before.equals(answer.state())) {
+            throw new AssertionError("went_back: " + id + " from " + before + ": " + answer);
+        }
+        if ("done".equals(answer.state())) {
+            checkDone(id);
+        }
+        if ("cancelled".equals(answer.state())) {
             cancelledMicros.putIfAbsent(id, time.nowMicros());
         }
+        if (over || !told.containsKey(id)) {
+            told.put(id, over ? answer.state() : "open");
+        }
         return answer;
     }
 
+    private void checkDone(String id) {
+        Map<String, Object> job = jobs.get(id);
+        for (int task = 0; task < Json.integer(job, "beads", 0); task++) {
+            // A gang is done with the first of its tasks.
+            if (!completed.contains(id + "/" + ("ensemble".equals(job.get("shape")) ? 0 : task))) {
+                throw new AssertionError("not_done: " + id + "/" + task);
+            }
+        }
+    }
+
     /** Asks a node and lets time pass until it answers, for five seconds at most; status 0: no answer. */
     public Answer ask(String node, String method, String path, byte[] body) {
         Answer[] answer = new Answer[1];
@@ -262,6 +352,10 @@
         return running.get(task);
     }
 
+    public int startsAfterCancellation() {
+        return startsAfterCancellation;
+    }
+
     public int runningTasks() {
         return running.size();
     }
@@ -284,6 +378,7 @@
         if (cancelled != null && time.nowMicros() > cancelled + CANCEL_MICROS) {
             throw new AssertionError("ran_cancelled: " + task);
         }
+        startsAfterCancellation += cancelled == null ? 0 : 1;
         Map<String, Object> job = jobs.get(id);
         if (job == null) {
             throw new AssertionError("a task of no job: " + task);
@@ -336,4 +431,9 @@
     public void ended(FakeWorker worker, String task) {
         running.remove(task, worker);
     }
+
+    @Override
+    public void completed(String task) {
+        completed.add(task);
+    }
 }
