--- a/src/test/java/org/weldcourse/app/MeetingsTest.java
+++ b/src/test/java/org/weldcourse/app/MeetingsTest.java
@@ -874,9 +874,13 @@
                 day.cancel(id);
             }
             world.time.pass(250_000);
-            if (i % 60 == 30) {
-                // The changes that the state service keeps have gone by.
+            String leader = world.leader();
+            if (i % 60 == 28) {
+                world.refuseState(leader, true);
+            } else if (i % 60 == 34) {
+                // Meanwhile the changes that the state service keeps have gone by.
                 world.state.forgetChanges();
+                world.refuseState(leader, false);
             }
         }
         world.time.passSeconds(40);
