--- a/src/test/java/org/weldcourse/app/MeetingsTest.java
+++ b/src/test/java/org/weldcourse/app/MeetingsTest.java
@@ -868,19 +868,20 @@
         World world = day.world;
         int before = world.state.writes();
         int requests = world.state.requests();
+        String refused = null;
         for (int i = 0; i < 240; i++) {
             String id = day.submit(3, "beads", 1, "cpus", 1.0);
             if (i % 4 == 0) {
                 day.cancel(id);
             }
             world.time.pass(250_000);
-            String leader = world.leader();
             if (i % 60 == 28) {
-                world.refuseState(leader, true);
+                refused = world.leader();
+                world.refuseState(refused, true);
             } else if (i % 60 == 34) {
                 // Meanwhile the changes that the state service keeps have gone by.
                 world.state.forgetChanges();
-                world.refuseState(leader, false);
+                world.refuseState(refused, false);
             }
         }
         world.time.passSeconds(40);
