--- a/src/main/java/org/weldcourse/admission/RenewalBound.java
+++ b/src/main/java/org/weldcourse/admission/RenewalBound.java
@@ -19,6 +19,8 @@
      * ends what it has, a little late. Our own lateness needs none: a report is sent before it is answered.
      */
     static final long MARGIN_MICROS = 3_000_000;
+    /** Reads come once a second: of an older one too much may be unknown to start anything. */
+    private static final long FRESH_MICROS = 3_000_000;
     private static final long NEVER = Long.MIN_VALUE;
 
     private final long spanMicros;
@@ -33,6 +35,11 @@
         readMicros = Math.max(readMicros, sentMicros);
     }
 
+    /** Whether hardly anything can have been cancelled that is not known of. */
+    boolean isFreshAt(long nowMicros) {
+        return readMicros != NEVER && nowMicros - readMicros < FRESH_MICROS;
+    }
+
     /** Never before the first whole read: a predecessor may have used up all the time that there was. */
     boolean allowAt(long nowMicros) {
         return readMicros != NEVER && nowMicros - readMicros < spanMicros;
--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -355,8 +355,10 @@
         if (machine.type == null) {
             machine.type = parts.types().byName(report.type());
         }
-        // While the state service refuses this node, others may confirm cancellations: what is started then is halted later.
-        boolean mayStart = parts.leadership().leaseHolds() && parts.store().failingSinceMicros() < 0;
+        // While the state service refuses this node, or as long as it has not read again since, others may have confirmed
+        // cancellations: what is started then would be halted, but it would have been started.
+        boolean mayStart = parts.leadership().leaseHolds() && parts.store().failingSinceMicros() < 0
+                && renewals.isFreshAt(nowMicros);
         Reconciler.Result result = reconciler.report(machine, report, mayStart, nowMicros);
         reply.send(200, CheckinCodec.answer(token, result.orders()));
         if (result.changed()) {
@@ -425,12 +427,23 @@
         }
         int pending = 0;
         int booked = 0;
+        int replicas = 0;
+        int replicasRunning = 0;
+        int replicasWaiting = 0;
         for (Job job : board.jobs.values()) {
             pending += job.pending.cardinality();
             booked += job.bookings.size();
+            if (job.spec.service() && !job.cancelled) {
+                replicas += job.spec.tasks();
+                replicasRunning += (int) job.bookings.values().stream().filter(Booking::running).count();
+                replicasWaiting += job.pending.cardinality();
+            }
         }
         return board.jobs.size() + " jobs open, " + booked + " tasks booked, " + pending + " waiting ("
-                + waitingByQuota + " for their team's limit); " + up + " machines up, " + quiet + " silent, "
+                + waitingByQuota + " for their team's limit); "
+                + (replicas == 0 ? "" : replicas + " replicas wanted, " + replicasRunning + " running, " + replicasWaiting
+                        + " waiting for a place, " + (replicas - replicasRunning - replicasWaiting) + " booked or leaving; ")
+                + up + " machines up, " + quiet + " silent, "
                 + (board.machines.size() - up) + " coming; " + fleet.spending();
     }
 
--- a/src/test/java/org/weldcourse/app/MeetingsTest.java
+++ b/src/test/java/org/weldcourse/app/MeetingsTest.java
@@ -232,7 +232,9 @@
     void successorHaltsWhatWasCancelledBeforeItHasReadAllRecords() {
         Day day = new Day(2);
         String id = day.running(FOREVER);
+        String stays = day.running(60);
         World world = day.world;
+        world.time.passSeconds(2);
         day.killLeader();
         assertEquals("cancelled", day.cancel(id));
         int[] hung = new int[1];
@@ -244,9 +246,12 @@
         day.awaitLeader(10);
         world.time.passSeconds(4);
         assertTrue(hung[0] > 0);
-        assertEquals(0, world.runningTasks());
+        assertEquals(0, day.tasksOf(id).size());
+        // Nobody knows yet what else should run where, and it goes on.
+        assertEquals(4, day.tasksOf(stays).size());
         world.net.fates((from, call) -> FakeNet.NORMAL);
-        day.endsWell(60);
+        day.endsWell(90);
+        assertTrue(world.starts.values().stream().allMatch(count -> count == 1), world.starts.toString());
     }
 
     @Test
@@ -516,13 +521,15 @@
     void tasksThatEndFarApartAcrossAChangeOfLeader(double endsAfter) {
         Day day = new Day(2);
         World world = day.world;
-        String id = day.submit(25, "beads", 3);
+        // One finished task stays listed as a bell: it takes two for one to be forgotten too soon.
+        String id = day.submit(25, "beads", 4);
         world.runMicros.put(id + "/0", 2_000_000L);
-        world.runMicros.put(id + "/2", 60_000_000L);
+        world.runMicros.put(id + "/1", 2_000_000L);
+        world.runMicros.put(id + "/3", 60_000_000L);
         for (int i = 0; i < 600 && (!world.starts.containsKey(id + "/0") || world.whereIs(id + "/0") != null); i++) {
             world.time.pass(50_000);
         }
-        assertEquals(2, day.tasksOf(id).size(), "the first has ended");
+        assertEquals(2, day.tasksOf(id).size(), "the first have ended");
         world.time.passSeconds(endsAfter);
         day.killLeader();
         day.awaitLeader(8);
@@ -744,15 +751,16 @@
         world.cloud.capacity = 1;
         world.time.passSeconds(7);
         int[] late = new int[1];
-        world.net.fates((from, call) -> isAdmission(call) && late[0]++ == 0 ? 6_000_000 : FakeNet.NORMAL);
+        world.net.fates((from, call) -> isAdmission(call) && late[0]++ == 0 ? 12_000_000 : FakeNet.NORMAL);
         String id = day.submit(40, "beads", 12);
         world.time.passSeconds(3);
         assertEquals(8, day.tasksOf(id).size());
         world.cloud.capacity = 2;
         world.cloud.unexpected("large", "a", false);
-        world.time.passSeconds(8);
+        world.time.passSeconds(7);
         assertEquals(12, day.tasksOf(id).size(), "a second admission is on record before the first comes late");
         assertTrue(late[0] >= 3);
+        world.time.passSeconds(4);
         day.killLeader();
         day.awaitLeader(8);
         day.endsWell(120);
@@ -773,8 +781,7 @@
         world.time.passSeconds(7);
         String machine = world.workers.keySet().iterator().next();
         // What is admitted on it waits for its next report.
-        world.mute(machine);
-        world.net.cut("n0", FakeWorker.address(machine));
+        world.workers.get(machine).freeze(true);
         String id = day.submit(FOREVER);
         world.time.pass(300_000);
         assertEquals(1, world.state.keys("slices/").size());
@@ -786,7 +793,7 @@
         world.time.passSeconds(1);
         world.state.down(true);
         world.time.passSeconds(healsAfter - 2);
-        world.heal(machine);
+        world.workers.get(machine).freeze(false);
         world.time.passSeconds(3);
         assertEquals(old, world.leader());
         assertTrue(world.time.nowMicros() - world.workers.get(machine).lastReportMicros() < 2_000_000);
--- /dev/null
+++ b/src/test/java/org/weldcourse/workers/ReconcilerTest.java
@@ -0,0 +1,42 @@
+package org.weldcourse.workers;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.weldcourse.rehearsal.World.jobBody;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.weldcourse.admission.Board;
+import org.weldcourse.admission.Booking;
+import org.weldcourse.admission.Job;
+import org.weldcourse.admission.Machine;
+import org.weldcourse.http.Json;
+import org.weldcourse.jobs.JobCodec;
+
+class ReconcilerTest {
+    private final Board board = new Board();
+    private final Reconciler reconciler = new Reconciler(board, 7, 10_000_000);
+
+    private static Report report(long sequence, long token, TaskName task) {
+        return new Report("m-000001", "x:1", "large", "a", false, 1, sequence, token, Report.NO_NOTICE,
+                List.of(new Report.Task(task, 1, Report.State.RUNNING, null)));
+    }
+
+    @Test
+    void everyAnswerHaltsWhatIsKnownAsCancelledEvenBeforeTheNextCycle() throws Exception {
+        Job job = new Job(JobCodec.spec(Json.objectOrEmpty(Json.bytes(jobBody("req-000001")))), 1, 0);
+        board.jobs.put("req-000001", job);
+        Machine machine = board.machine("m-000001", 0);
+        Booking booking = board.book(job, 0, 1, machine, 0);
+        booking.persisted = true;
+        assertEquals(List.of(), reconciler.report(machine, report(1, 7, booking.name), true, 1_000).orders());
+        job.cancelled = true;
+        List<Order> halt = List.of(Order.halt(booking.name, 1, 0));
+        assertEquals(halt, reconciler.report(machine, report(2, 7, booking.name), true, 2_000).orders());
+        // Nor does one that teaches nothing carry it along: under another token, or while the machine is on its way out.
+        assertEquals(halt, reconciler.report(machine, report(3, 6, booking.name), true, 3_000).orders());
+        machine.released = true;
+        assertEquals(halt, reconciler.report(machine, report(4, 7, booking.name), true, 4_000).orders());
+        assertTrue(booking.haltSent);
+    }
+}
