--- a/src/main/java/org/weldcourse/admission/Drill.java
+++ b/src/main/java/org/weldcourse/admission/Drill.java
@@ -234,7 +234,7 @@
         List<FleetPlanner.Host> hosts = new ArrayList<>();
         for (Machine machine : board.machines.values()) {
             hosts.add(new FleetPlanner.Host(machine.type, machine.zone, machine.spot, false, nowMicros,
-                    machine.load(board.runTimes).cpus() * 1e6, new double[Rank.values().length]));
+                    machine.load(board.runTimes).cpus() * 1e6, 0, new double[Rank.values().length]));
         }
         FleetPlanner.plan(outlook.needs(decisions.waiting()), hosts, types, Set.of(), 50, nowMicros);
         for (Machine machine : board.machines.values()) {
--- a/src/main/java/org/weldcourse/admission/Outlook.java
+++ b/src/main/java/org/weldcourse/admission/Outlook.java
@@ -45,12 +45,7 @@
         List<JobView> jobs = new ArrayList<>();
         for (Job job : board.jobs.values()) {
             if (job.canBeBooked(nowMicros)) {
-                Map<String, Integer> zones = new HashMap<>();
-                if (job.spec.oneZone() || job.spec.spread()) {
-                    for (Booking booking : job.bookings.values()) {
-                        zones.merge(String.valueOf(booking.machine.zone), 1, Integer::sum);
-                    }
-                }
+                Map<String, Integer> zones = job.spec.oneZone() || job.spec.spread() ? zoneCounts(job) : Map.of();
                 boolean begun = !job.bookings.isEmpty() || !job.done.isEmpty();
                 jobs.add(new JobView(job.spec, (BitSet) job.pending.clone(), job.acceptedMicros,
                         begun, admitByMicros(job, begun), latestStartMicros(job),
@@ -65,6 +60,14 @@
         return new Snapshot(nowMicros, machines, jobs, teams);
     }
 
+    private static Map<String, Integer> zoneCounts(Job job) {
+        Map<String, Integer> zones = new HashMap<>();
+        for (Booking booking : job.bookings.values()) {
+            zones.merge(String.valueOf(booking.machine.zone), 1, Integer::sum);
+        }
+        return zones;
+    }
+
     /** A machine this long without a word gets no new work until it is heard again. */
     long quietMicros() {
         return Math.max(2 * settings.workers().reportMicros(),
@@ -78,9 +81,9 @@
                 JobSpec spec = item.spec();
                 Job job = board.jobs.get(spec.id());
                 needs.add(new FleetPlanner.Need(spec, item.tasks(),
-                        Math.max(LEAST_RUN_MICROS, board.runTimes.expectedMicros(job)),
+                        spec.service() ? LEAST_RUN_MICROS : Math.max(LEAST_RUN_MICROS, board.runTimes.expectedMicros(job)),
                         (long) (settings.workers().reportMicros() * GAP_REPORTS), dueMicros(job),
-                        item.freeByZone()));
+                        item.freeByZone(), spec.spread() ? zoneCounts(job) : Map.of()));
             }
         }
         return needs;
@@ -118,7 +121,7 @@
 
     /** Jobs that must start sooner come first; those without any time to keep to come by age. */
     private long latestStartMicros(Job job) {
-        return dueMicros(job) - board.runTimes.expectedMicros(job);
+        return job.spec.service() ? job.acceptedMicros : dueMicros(job) - board.runTimes.expectedMicros(job);
     }
 
     /** When the job should be done: well before its deadline, or the time that its class's aim names. */
--- a/src/main/java/org/weldcourse/admission/Planner.java
+++ b/src/main/java/org/weldcourse/admission/Planner.java
@@ -36,6 +36,8 @@
     /** A class's largest jobs must begin within four minutes; from here on they come before their equals. */
     private static final long LARGE_OWED_MICROS = 120_000_000;
     private static final long OWED_MICROS = 180_000_000;
+    /** Of so many machines each holds its part of a service's replicas. */
+    private static final int MACHINES_OF_A_SERVICE = 3;
     private static final int OWED = 0;
     private static final int KEEPS_AIM = 1;
     private static final int MISSED_AIM = Integer.MAX_VALUE;
@@ -140,6 +142,14 @@
             return (int) Math.max(0, most);
         }
 
+        int replicasOf(JobSpec job) {
+            int replicas = 0;
+            for (TaskView task : machine.load().tasks()) {
+                replicas += task.job().id().equals(job.id()) ? 1 : 0;
+            }
+            return replicas;
+        }
+
         void take(JobSpec job, int tasks) {
             cpus -= job.cpus() * tasks;
             gpus -= job.gpus() * tasks;
@@ -338,7 +348,14 @@
         Map<Room, Integer> counts = new LinkedHashMap<>();
         int left = most;
         int keptBack = 0;
+        if (spec.service()) {
+            left = scatter(job, open, onlyZone, zoneCounts, counts, left);
+        }
         for (boolean ahead : new boolean[] {false, true}) {
+            if (ahead && spec.service()) {
+                // A replica does not wait for a place while it can displace lower ranks.
+                break;
+            }
             // A job is done with its last task: half of what waits is kept for room that is free for certain.
             int keep = ahead ? (left + 1) / 2 : 0;
             keptBack = keep;
@@ -347,7 +364,7 @@
                 if (left <= keep || onlyZone != null && !onlyZone.equals(zone)) {
                     continue;
                 }
-                int fits = ahead ? room.fitsAhead(spec) - counts.getOrDefault(room, 0) : room.fits(spec);
+                int fits = (ahead ? room.fitsAhead(spec) : room.fits(spec)) - counts.getOrDefault(room, 0);
                 fits = Math.min(Math.min(left - keep, fits), spec.mostPerZone() - zoneCounts.getOrDefault(zone, 0));
                 if (fits > 0) {
                     counts.merge(room, fits, Integer::sum);
@@ -372,6 +389,29 @@
         return most - left;
     }
 
+    /**
+     * A service's replicas go to several machines of those that are there, so that the loss of one takes few: a third of them
+     * on each at most, as long as there are enough. What then finds no place is packed as arrays are.
+     */
+    private static int scatter(JobView job, List<Room> open, String onlyZone, Map<String, Integer> zoneCounts,
+            Map<Room, Integer> counts, int wanted) {
+        JobSpec spec = job.spec();
+        int each = (spec.tasks() + MACHINES_OF_A_SERVICE - 1) / MACHINES_OF_A_SERVICE;
+        int left = wanted;
+        for (Room room : open) {
+            String zone = room.machine.zone();
+            int most = Math.min(Math.min(left, each - room.replicasOf(spec)),
+                    spec.mostPerZone() - zoneCounts.getOrDefault(zone, 0));
+            int take = onlyZone != null && !onlyZone.equals(zone) ? 0 : Math.min(most, room.fits(spec));
+            if (take > 0) {
+                counts.merge(room, take, Integer::sum);
+                zoneCounts.merge(zone, take, Integer::sum);
+                left -= take;
+            }
+        }
+        return left;
+    }
+
     /** Whose arrays may go where, and what they may displace: all that decides on their room but their size. */
     private record Kind(String team, JobSpec.Rank rank, List<String> types, String zone, boolean spot) {
         Kind(JobSpec spec) {
--- a/src/main/java/org/weldcourse/admission/Recorder.java
+++ b/src/main/java/org/weldcourse/admission/Recorder.java
@@ -30,6 +30,14 @@
     private static final double BURST_SECONDS = 0.5;
     private static final double LEFT_BY_BACKGROUND = 0.2;
     private static final int MOST_SHARD_TASKS = 16_000;
+    /**
+     * Shards of another size than earlier versions know have numbers from here on and say where they begin. To an earlier
+     * version they lie beyond the last task of any job: it leaves them out, where it would else take other tasks for
+     * finished.
+     */
+    private static final int FINE_SHARD = 100_000;
+    /** What the state service calls malformed must not be sent again and again as it is. */
+    private static final long MALFORMED_PAUSE_MICROS = 5_000_000;
     private static final long SAVE_DONE_MICROS = 8_000_000;
     private static final long READ_AGAIN_MICROS = 250_000;
 
@@ -40,6 +48,10 @@
     private final long epochVersion;
     private final Pacer pacer;
     private final Events events;
+    private final int valueBytes;
+    private final int txnOps;
+    /** How versions that know of no lower limits divide finished tasks: the number of a shard says where it begins. */
+    private final int plainShardTasks;
     private final int shardTasks;
     private boolean ended;
 
@@ -63,9 +75,12 @@
         this.limits = limits;
         this.epochVersion = epochVersion;
         this.events = events;
-        this.pacer = new Pacer(clock, limits.writesPerSecond() * SHARE_OF_WRITES,
-                limits.writesPerSecond() * SHARE_OF_WRITES * BURST_SECONDS);
-        this.shardTasks = shardTasks(limits.valueBytes());
+        this.pacer = new Pacer(clock, limits.safeWritesPerSecond() * SHARE_OF_WRITES,
+                limits.safeWritesPerSecond() * SHARE_OF_WRITES * BURST_SECONDS);
+        this.valueBytes = limits.safeValueBytes();
+        this.txnOps = limits.safeTxnOps();
+        this.plainShardTasks = shardTasks(limits.valueBytes());
+        this.shardTasks = shardTasks(valueBytes);
     }
 
     /** Tasks whose bits fit one value as base64, with room for the frame around them. */
@@ -75,7 +90,7 @@
 
     /** How many tasks one admission may hold so that its record fits one transaction however scattered they are. */
     static int mostTasksPerAdmission(Settings.State limits) {
-        int bytes = Math.min(48 * 1024, limits.valueBytes() * Math.max(1, limits.txnOps() - 2) / 2);
+        int bytes = Math.min(48 * 1024, limits.safeValueBytes() * Math.max(1, limits.safeTxnOps() - 2) / 2);
         return Math.max(1, Math.min(2_000, bytes / 16));
     }
 
@@ -100,7 +115,7 @@
 
     /** Admissions and endings come first: bookkeeping has to leave some of the budget. */
     private boolean mayWriteInBackground() {
-        return pacer.tryTakeOf(limits.writesPerSecond() * LEFT_BY_BACKGROUND);
+        return pacer.tryTakeOf(limits.safeWritesPerSecond() * LEFT_BY_BACKGROUND);
     }
 
     /** How many admissions the budget of changes has room for now. */
@@ -114,11 +129,11 @@
 
     /** Whether a job's records have room for its finished tasks; those of very large ones have records of their own. */
     private boolean keepsDone(Job job) {
-        return SliceCodec.bitsBytes(job.spec.tasks()) <= limits.valueBytes() / 4;
+        return SliceCodec.bitsBytes(job.spec.tasks()) <= valueBytes / 4;
     }
 
     private int roomForTasks(Job job) {
-        return limits.valueBytes() - (keepsDone(job) ? SliceCodec.bitsBytes(job.spec.tasks()) : 0);
+        return valueBytes - (keepsDone(job) ? SliceCodec.bitsBytes(job.spec.tasks()) : 0);
     }
 
     /**
@@ -140,28 +155,25 @@
             }
         }
         if (writes.isEmpty()) {
-            int number = 0;
-            for (SliceCodec.Admitted part : fresh.split(roomForTasks(job))) {
-                while (job.records.containsKey(Keys.slice(job.spec.id(), number))) {
-                    number++;
-                }
-                writes.put(Keys.slice(job.spec.id(), number++), part);
-            }
+            writes.putAll(spread(job, fresh, null));
         }
-        write(job, writes, onRecord -> {
-            if (onRecord) {
-                writes.forEach((key, part) -> SliceCodec.visit(SliceCodec.record(part, 0, 0, null),
-                        (machine, written, first, last) -> {
-                            for (int task = first; task <= last; task++) {
-                                Booking booking = job.bookings.get(task);
-                                if (booking != null && booking.attempt == written) {
-                                    booking.record = key;
-                                }
-                            }
-                        }));
+        write(job, writes, then);
+    }
+
+    /** Spreads what is admitted over a record that the job has, if one is named, and as many new ones as it takes. */
+    private Map<String, SliceCodec.Admitted> spread(Job job, SliceCodec.Admitted admitted, String firstKey) {
+        Map<String, SliceCodec.Admitted> writes = new LinkedHashMap<>();
+        String key = firstKey;
+        int number = 0;
+        for (SliceCodec.Admitted part : admitted.split(roomForTasks(job))) {
+            while (key == null) {
+                String next = Keys.slice(job.spec.id(), number++);
+                key = job.records.containsKey(next) ? null : next;
             }
-            then.accept(onRecord);
-        });
+            writes.put(key, part);
+            key = null;
+        }
+        return writes;
     }
 
     /** What a record has to go on holding. */
@@ -189,16 +201,33 @@
             if (onRecord && done != null) {
                 job.savedDone.or(done);
             }
+            if (onRecord) {
+                writes.forEach((key, part) -> nameRecord(job, key, part));
+            }
             then.accept(onRecord);
         });
     }
 
+    private static void nameRecord(Job job, String key, SliceCodec.Admitted part) {
+        SliceCodec.visit(SliceCodec.record(part, 0, 0, null), (machine, written, first, last) -> {
+            for (int task = first; task <= last; task++) {
+                Booking booking = job.bookings.get(task);
+                if (booking != null && booking.attempt == written) {
+                    booking.record = key;
+                }
+            }
+        });
+    }
+
     private void put(Job job, Txn txn, Set<String> keys, int writing, Admitted then) {
         job.recording = true;
         job.savedMicros = clock.nowMicros();
         commit(txn, (commit, unclear) -> {
             if (commit.outcome() == Outcome.OK) {
                 written(job, keys, commit.revision(), then);
+            } else if (commit.outcome() == Outcome.BAD) {
+                LOG.error("{}: the state service calls its record malformed: {}", job.spec.id(), keys);
+                timers.after(MALFORMED_PAUSE_MICROS, () -> readBack(job, keys, writing, then));
             } else if (unclear) {
                 // The conditions failed because an earlier try went through, or because something else changed.
                 readBack(job, keys, writing, then);
@@ -274,9 +303,20 @@
             saveShards(job, then);
             return;
         }
+        Map<String, SliceCodec.Admitted> smallest = null;
         for (String key : job.records.keySet()) {
-            write(job, Map.of(key, standing(job, key)), then);
-            return;
+            if (!key.startsWith(Keys.SLICES)) {
+                continue;
+            }
+            // One that was written under larger limits may have to be divided.
+            SliceCodec.Admitted standing = standing(job, key);
+            Map<String, SliceCodec.Admitted> writes = standing.isEmpty() ? Map.of(key, standing) : spread(job, standing, key);
+            if (smallest == null || writes.size() < smallest.size()) {
+                smallest = writes;
+            }
+        }
+        if (smallest != null && smallest.size() <= txnOps) {
+            write(job, smallest, then);
         }
     }
 
@@ -289,14 +329,16 @@
             int from = shard * shardTasks;
             int to = Math.min(job.spec.tasks(), from + shardTasks);
             BitSet now = saving.get(from, to);
-            if (txn.ops() >= limits.txnOps() || now.equals(job.savedDone.get(from, to))) {
+            if (txn.ops() >= txnOps || now.equals(job.savedDone.get(from, to))) {
                 saving.clear(from, to);
                 continue;
             }
-            String key = Keys.doneTasks(job.spec.id(), shard);
+            boolean plain = shardTasks == plainShardTasks;
+            String key = Keys.doneTasks(job.spec.id(), plain ? shard : FINE_SHARD + shard);
             keys.add(key);
             txn.guard(key, job.records.getOrDefault(key, 0L))
-                    .put(key, Json.of("bits", SliceCodec.bits(now), "n", writing));
+                    .put(key, plain ? Json.of("bits", SliceCodec.bits(now), "n", writing)
+                            : Json.of("bits", SliceCodec.bits(now), "n", writing, "from", from));
         }
         put(job, txn, keys, writing, onRecord -> {
             if (onRecord) {
@@ -321,8 +363,8 @@
         job.records.put(entry.key(), entry.version());
         job.writings = Math.max(job.writings, SliceCodec.writing(entry.value()));
         job.lastAttempt = Math.max(job.lastAttempt, SliceCodec.lastAttempt(entry.value()));
-        restoreDone(job, entry.value(),
-                entry.key().startsWith(Keys.DONE_TASKS) ? Keys.numberOf(entry.key()) * shardTasks : 0);
+        restoreDone(job, entry.value(), entry.key().startsWith(Keys.DONE_TASKS)
+                ? (int) Json.integer(entry.value(), "from", (long) Keys.numberOf(entry.key()) * plainShardTasks) : 0);
     }
 
     /** Moves a job that is over to its final record; the rest of its records follow in their own time. */
@@ -341,6 +383,9 @@
         commit(txn, (commit, unclear) -> {
             if (commit.outcome() == Outcome.OK) {
                 closed(job, state, rest);
+            } else if (commit.outcome() == Outcome.BAD) {
+                LOG.error("{}: the state service calls its end malformed", id);
+                timers.after(MALFORMED_PAUSE_MICROS, () -> confirmClosed(job, state, rest));
             } else if (unclear) {
                 confirmClosed(job, state, rest);
             } else {
@@ -386,7 +431,7 @@
             timers.after(1_000_000, () -> sweep(keys));
             return;
         }
-        int some = Math.min(keys.size(), Math.max(1, limits.txnOps() / 2));
+        int some = Math.min(keys.size(), Math.max(1, txnOps / 2));
         Txn txn = guarded();
         keys.subList(0, some).forEach(txn::delete);
         List<String> rest = new ArrayList<>(keys.subList(some, keys.size()));
--- a/src/main/java/org/weldcourse/admission/RunTimes.java
+++ b/src/main/java/org/weldcourse/admission/RunTimes.java
@@ -17,7 +17,13 @@
 
     private final Map<String, double[]> byClass = new HashMap<>();
 
+    /** What a service's replicas are expected to run: they have no end of their own. */
+    private static final long ENDLESS_MICROS = 300L * 86_400 * 1_000_000;
+
     public void finished(Job job, long ranMicros) {
+        if (job.spec.service()) {
+            return;
+        }
         job.finishedRuns++;
         job.finishedMicros += ranMicros;
         long estimateMicros = job.spec.estimateMicros();
@@ -31,6 +37,9 @@
 
     /** The expected run time of one of the job's tasks. */
     public long expectedMicros(Job job) {
+        if (job.spec.service()) {
+            return ENDLESS_MICROS;
+        }
         if (job.finishedRuns > 0) {
             return job.finishedMicros / job.finishedRuns;
         }
--- a/src/main/java/org/weldcourse/admission/Snapshot.java
+++ b/src/main/java/org/weldcourse/admission/Snapshot.java
@@ -78,7 +78,7 @@
             long latestStartMicros, long expectedMicros, Map<String, Integer> zoneCounts, Set<String> badMachines) {
         /** The work that is left to admit, in steps of twice as much. */
         int workStep() {
-            double cpuSeconds = pending.cardinality() * spec.cpus() * (expectedMicros / 1e6);
+            double cpuSeconds = pending.cardinality() * spec.cpus() * (spec.service() ? 1 : expectedMicros / 1e6);
             return Math.getExponent(Math.max(1, cpuSeconds));
         }
 
--- a/src/main/java/org/weldcourse/fleet/FleetKeeper.java
+++ b/src/main/java/org/weldcourse/fleet/FleetKeeper.java
@@ -98,10 +98,18 @@
     public void jobSeen(JobSpec job) {
         for (Settings.Objective aim : settings.objectives()) {
             if (aim.kind().equals("wait") && aim.jobClass().equals(job.jobClass())) {
-                startAims.put(job.jobClass(), job);
-                lastSeenMicros.put(job.jobClass(), clock.nowMicros());
+                seekStarts(job);
             }
         }
+        if (job.service()) {
+            // All the time until a replica runs is time not served, whether or not its class has an aim for its start.
+            seekStarts(job);
+        }
+    }
+
+    private void seekStarts(JobSpec job) {
+        startAims.put(job.jobClass(), job);
+        lastSeenMicros.put(job.jobClass(), clock.nowMicros());
     }
 
     public boolean isGone(String machine) {
@@ -262,11 +270,16 @@
         long availableAtMicros = booting
                 ? Math.max(nowMicros + 5_000_000, machine.sinceMicros + machine.type.bootMicros()) : nowMicros;
         double busyCpuMicros = 0;
+        double heldCpus = 0;
         for (Booking booking : machine.bookings.values()) {
-            busyCpuMicros += board.runTimes.leftMicros(booking, nowMicros) * booking.job.spec.cpus();
+            if (booking.job.spec.service()) {
+                heldCpus += booking.job.spec.cpus();
+            } else {
+                busyCpuMicros += board.runTimes.leftMicros(booking, nowMicros) * booking.job.spec.cpus();
+            }
         }
         return new FleetPlanner.Host(machine.type, machine.zone, machine.spot, booting, availableAtMicros,
-                busyCpuMicros, takenShares(machine));
+                busyCpuMicros, heldCpus, takenShares(machine));
     }
 
     private void rent(String request, Offer offer, int count) {
@@ -426,11 +439,16 @@
         if (hearsMost && machine.isDeafFor(settings.workers().leaseMicros(), nowMicros)) {
             return "its reports arrive, answers don't reach it";
         }
-        // A spot machine that falls silent was most likely taken; an ordinary one may be cut off and working.
-        double patience = (hearsMost ? 1 : 2) * (machine.spot ? SPOT_PATIENCE : 1);
+        // A spot machine that falls silent was most likely taken; an ordinary one may be cut off and working. But the time
+        // of replicas on it is lost either way, and its return is what lets them run elsewhere.
+        double patience = (hearsMost ? 1 : 2) * (machine.spot || holdsReplicas(machine) ? SPOT_PATIENCE : 1);
         return silentMicros > patience * silenceMicros() ? "silent" : null;
     }
 
+    private static boolean holdsReplicas(Machine machine) {
+        return machine.bookings.values().stream().anyMatch(booking -> booking.job.spec.service());
+    }
+
     /** When most machines fall silent or deaf together, the fault is on this side: their tasks may well be running. */
     private boolean hearsMost(long nowMicros) {
         int up = 0;
--- a/src/main/java/org/weldcourse/fleet/FleetPlanner.java
+++ b/src/main/java/org/weldcourse/fleet/FleetPlanner.java
@@ -34,20 +34,21 @@
 
     /**
      * A machine from when it can take work, the work that is on it already, and by the rank of what waits now the part
-     * of it that more important work is likely to take.
+     * of it that more important work is likely to take. Services hold {@code heldCpus} for good.
      */
     public record Host(MachineType type, String zone, boolean spot, boolean booting, long availableAtMicros,
-            double busyCpuMicros, double[] takenShares) {
+            double busyCpuMicros, double heldCpus, double[] takenShares) {
     }
 
     /**
      * Tasks that wait, in order of importance, each expected to run so long, with such a gap from one to the next on its
-     * place, all of them due at a time. A gang waits for all its places, of which {@code freeByZone} are there.
+     * place, all of them due at a time. A gang waits for all its places, of which {@code freeByZone} are there. Of a job that
+     * has to be spread, {@code takenByZone} says where its other tasks are.
      */
     public record Need(JobSpec job, int tasks, long runMicros, long gapMicros, long dueMicros,
-            Map<String, Integer> freeByZone) {
+            Map<String, Integer> freeByZone, Map<String, Integer> takenByZone) {
         public Need(JobSpec job, int tasks, long runMicros, long dueMicros) {
-            this(job, tasks, runMicros, 0, dueMicros, Map.of());
+            this(job, tasks, runMicros, 0, dueMicros, Map.of(), Map.of());
         }
 
         long fetchMicros(MachineType type) {
@@ -68,9 +69,11 @@
         final Host host;
         double gangCpus;
         double usedCpuMicros;
+        double heldCpus;
 
         Supply(Host host) {
             this.host = host;
+            this.heldCpus = host.heldCpus();
             this.gangCpus = host.booting() ? host.type().cpus() : 0;
             this.usedCpuMicros = host.busyCpuMicros();
         }
@@ -90,7 +93,7 @@
             if (!allowed(need.job(), host) || runs <= 0) {
                 return 0;
             }
-            double most = EFFICIENCY * (1 - host.takenShares()[need.job().rank().ordinal()]) * host.type().tasksThatFit(need.job())
+            double most = EFFICIENCY * Math.max(0, 1 - heldCpus / host.type().cpus()) * (1 - host.takenShares()[need.job().rank().ordinal()]) * host.type().tasksThatFit(need.job())
                     * need.job().cpus() * runs * need.runMicros();
             return Math.max(0, most - usedCpuMicros);
         }
@@ -152,7 +155,8 @@
             rentForGang(need, best, supplies, types, refused, mostMachines, nowMicros, chosen);
         } else {
             // What is on its way suffices, but it is spoken for now: the next gang must not count on it too.
-            takeSlots(need, best, need.tasks() - need.freeByZone().getOrDefault(best, 0), supplies);
+            takeSlots(need, best, need.tasks() - need.freeByZone().getOrDefault(best, 0), supplies,
+                    new HashMap<>(need.takenByZone()));
         }
     }
 
@@ -174,37 +178,52 @@
 
     private static void rentForGang(Need need, String zone, List<Supply> supplies, List<MachineType> types,
             Set<Offer> refused, int mostMachines, long nowMicros, List<Offer> chosen) {
-        int left = takeSlots(need, zone, need.tasks(), supplies);
+        Map<String, Integer> taken = new HashMap<>(need.takenByZone());
+        int left = takeSlots(need, zone, need.tasks(), supplies, taken);
         while (left > 0 && chosen.size() < mostMachines) {
-            Choice best = best(need, zone, types, refused, NEVER, nowMicros);
+            // A zone that may take no more of a spread job would be rented in for ever.
+            Choice best = choices(need, types, refused).stream()
+                    .filter(choice -> zone == null || zone.equals(choice.offer.zone()))
+                    .filter(choice -> leftIn(choice.offer.zone(), need, taken) > 0)
+                    .min(Choice.CHEAPEST).orElse(null);
             if (best == null) {
                 return;
             }
             Supply supply = best.supply(nowMicros);
             supplies.add(supply);
             chosen.add(best.offer);
-            left -= takeSlots(supply, need, left);
+            left -= takeSlots(supply, need, left, taken);
         }
     }
 
+    private static int leftIn(String zone, Need need, Map<String, Integer> taken) {
+        return need.job().mostPerZone() - taken.getOrDefault(zone, 0);
+    }
+
     /** Takes places on what is there already, and returns how many are still missing. */
-    private static int takeSlots(Need need, String zone, int wanted, List<Supply> supplies) {
+    private static int takeSlots(Need need, String zone, int wanted, List<Supply> supplies, Map<String, Integer> takenByZone) {
         int left = wanted;
         for (Supply supply : supplies) {
             if (zone == null || zone.equals(supply.host.zone())) {
-                left -= takeSlots(supply, need, left);
+                left -= takeSlots(supply, need, left, takenByZone);
             }
         }
         return left;
     }
 
-    private static int takeSlots(Supply supply, Need need, int wanted) {
-        int taken = Math.min(wanted, supply.slots(need));
+    private static int takeSlots(Supply supply, Need need, int wanted, Map<String, Integer> takenByZone) {
+        String zone = supply.host.zone();
+        int taken = Math.min(Math.min(wanted, supply.slots(need)), leftIn(zone, need, takenByZone));
         if (taken <= 0) {
             return 0;
         }
+        takenByZone.merge(zone, taken, Integer::sum);
         supply.gangCpus -= taken * need.job().cpus();
-        supply.usedCpuMicros += (double) taken * need.job().cpus() * need.runMicros();
+        if (need.job().service()) {
+            supply.heldCpus += taken * need.job().cpus();
+        } else {
+            supply.usedCpuMicros += (double) taken * need.job().cpus() * need.runMicros();
+        }
         return taken;
     }
 
@@ -255,8 +274,11 @@
     }
 
     private record Choice(Offer offer, MachineType type, double cost) {
+        static final Comparator<Choice> CHEAPEST = Comparator.comparingDouble(Choice::cost)
+                .thenComparing(choice -> choice.offer.toString());
+
         Supply supply(long nowMicros) {
-            return new Supply(new Host(type, offer.zone(), offer.spot(), true, nowMicros + type.bootMicros(), 0, NOTHING_TAKEN));
+            return new Supply(new Host(type, offer.zone(), offer.spot(), true, nowMicros + type.bootMicros(), 0, 0, NOTHING_TAKEN));
         }
     }
 
@@ -287,8 +309,7 @@
         return choices(need, types, refused).stream()
                 .filter(choice -> zone == null || zone.equals(choice.offer.zone()))
                 .filter(choice -> dueMicros == NEVER || nowMicros + need.firstRunMicros(choice.type) <= dueMicros)
-                .min(Comparator.comparingDouble((Choice choice) -> choice.cost)
-                        .thenComparing(choice -> choice.offer.toString()))
+                .min(Choice.CHEAPEST)
                 .orElse(null);
     }
 }
--- a/src/main/java/org/weldcourse/jobs/JobApi.java
+++ b/src/main/java/org/weldcourse/jobs/JobApi.java
@@ -147,6 +147,10 @@
                 return;
             }
             record.put("cancelled", true);
+            if (Json.bytes(record).length > settings.state().safeValueBytes()) {
+                // Accepted under larger limits: what places its tasks is not needed any more.
+                JobCodec.shorten(record);
+            }
             Txn txn = new Txn().guard(Keys.open(id), read.entry().version()).put(Keys.open(id), record);
             store.commit(txn, commit -> {
                 if (commit.outcome() == Outcome.OK) {
@@ -212,16 +216,17 @@
         if (team == null) {
             return "unknown team";
         }
-        int together = spec.gang() ? spec.tasks() : 1;
+        // What has to run all at once has to fit the limit as a whole; an array's tasks follow one another.
+        int together = spec.gang() || spec.service() ? spec.tasks() : 1;
         if (spec.cpus() * together > team.cpusMax() + 1e-9 || spec.gpus() * together > team.gpusMax() + 1e-9) {
             return "more than the team's limit";
         }
-        for (MachineType type : types.known()) {
-            if (type.fits(spec)) {
-                return null;
-            }
+        if (types.known().stream().noneMatch(type -> type.fits(spec))) {
+            return "a task fits no allowed machine type";
         }
-        return "a task fits no allowed machine type";
+        int bytes = Json.bytes(JobCodec.record(spec, clock.wallMicros(), false)).length;
+        return bytes <= settings.state().safeValueBytes() ? null
+                : "its record of " + bytes + " bytes is larger than can be kept";
     }
 
     /** Bounds the requests that wait on the state service; past the bound the user is told when to come back. */
--- a/src/main/java/org/weldcourse/jobs/JobCodec.java
+++ b/src/main/java/org/weldcourse/jobs/JobCodec.java
@@ -87,6 +87,13 @@
                 "accepted", acceptedWallMicros, "cancelled", cancelled);
     }
 
+    /** Leaves out of a cancelled job's record what is not needed to end it; its team and size are, for the quota. */
+    static void shorten(Map<String, Object> record) {
+        record.put("rigs", null);
+        record.put("course", "-");
+        record.put("blank", "-");
+    }
+
     public static boolean isCancelled(Map<String, Object> record) {
         return Json.flag(record, "cancelled");
     }
--- a/src/main/java/org/weldcourse/settings/Settings.java
+++ b/src/main/java/org/weldcourse/settings/Settings.java
@@ -40,7 +40,29 @@
             long cancelMicros) {
     }
 
-    public record State(double requestsPerSecond, double writesPerSecond, int valueBytes, int txnOps) {
+    /**
+     * The state service's limits. It may lower them without notice to {@code next}, or null: what is written keeps to the
+     * smaller of both from the start.
+     */
+    public record State(double requestsPerSecond, double writesPerSecond, int valueBytes, int txnOps, NextState next) {
+        public State(double requestsPerSecond, double writesPerSecond, int valueBytes, int txnOps) {
+            this(requestsPerSecond, writesPerSecond, valueBytes, txnOps, null);
+        }
+
+        public int safeValueBytes() {
+            return next == null ? valueBytes : Math.min(valueBytes, next.valueBytes());
+        }
+
+        public int safeTxnOps() {
+            return next == null ? txnOps : Math.min(txnOps, next.txnOps());
+        }
+
+        public double safeWritesPerSecond() {
+            return next == null ? writesPerSecond : Math.min(writesPerSecond, next.writesPerSecond());
+        }
+    }
+
+    public record NextState(double writesPerSecond, int valueBytes, int txnOps) {
     }
 
     public record Cloud(double requestsPerSecond, long listLagMicros) {
--- a/src/main/java/org/weldcourse/settings/SettingsFile.java
+++ b/src/main/java/org/weldcourse/settings/SettingsFile.java
@@ -72,11 +72,35 @@
                         positiveMicros(workers, "gang_wait_s"), positiveMicros(workers, "gang_peer_s"),
                         positiveMicros(workers, "cancel_s")),
                 new Settings.State(positive(state, "rps"), positive(state, "write_rps"),
-                        (int) (positive(state, "value_kb") * 1024), (int) positive(state, "txn_ops")),
+                        valueBytes(state), atLeastOne(state, "txn_ops"), next(state)),
                 new Settings.Cloud(positive(cloud, "rps"), micros(number(cloud, "list_lag_s"))),
                 (int) positive(quota, "max_sockets"));
     }
 
+    private static Settings.NextState next(UnmodifiableConfig state) throws Invalid {
+        if (state.get(List.of("next")) == null) {
+            return null;
+        }
+        UnmodifiableConfig next = table(state, "next");
+        try {
+            return new Settings.NextState(positive(next, "write_rps"), valueBytes(next), atLeastOne(next, "txn_ops"));
+        } catch (Invalid invalid) {
+            throw new Invalid("state.next: " + invalid.getMessage());
+        }
+    }
+
+    private static int valueBytes(UnmodifiableConfig state) throws Invalid {
+        return (int) (positive(state, "value_kb") * 1024);
+    }
+
+    private static int atLeastOne(UnmodifiableConfig from, String name) throws Invalid {
+        int number = (int) positive(from, name);
+        if (number < 1) {
+            throw new Invalid("must be 1 at least: " + name);
+        }
+        return number;
+    }
+
     /** With less a controller would start, and end or refuse everybody as soon as there is work. */
     private static void atLeast(UnmodifiableConfig from, String name, double number, double least) throws Invalid {
         if (number < least) {
--- /dev/null
+++ b/src/test/java/org/weldcourse/app/ServicesTest.java
@@ -0,0 +1,200 @@
+package org.weldcourse.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.weldcourse.rehearsal.World.jobBody;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.weldcourse.rehearsal.FakeWorker;
+import org.weldcourse.rehearsal.World;
+
+/** Services: replicas that run until their user cancels them, and run again elsewhere when they are lost. */
+class ServicesTest {
+    private static final String ID = "req-000001";
+
+    private static Map<String, Object> service(Object... changes) {
+        Map<String, Object> body = jobBody(ID, "shape", "service", "rank", "prod", "cpus", 1.0, "loaners", false,
+                "expected_s", 0.0);
+        for (int i = 0; i < changes.length; i += 2) {
+            body.put((String) changes[i], changes[i + 1]);
+        }
+        return body;
+    }
+
+    /** Four large machines, two in each zone, and the service running on them. */
+    private static World served(int nodes, Object... changes) {
+        World world = new World(nodes);
+        world.time.passSeconds(2);
+        for (int i = 0; i < 4; i++) {
+            world.cloud.unexpected("large", i % 2 == 0 ? "a" : "b", false);
+        }
+        world.time.passSeconds(7);
+        world.runMicros.put(ID, Long.MAX_VALUE);
+        assertEquals(201, world.submit("n0", service(changes)).status());
+        awaitReplicas(world, 4, 4);
+        return world;
+    }
+
+    private static void awaitReplicas(World world, int wanted, double seconds) {
+        for (int i = 0; i < seconds * 10 && replicas(world).size() < wanted; i++) {
+            world.time.pass(100_000);
+        }
+        assertEquals(wanted, replicas(world).size());
+    }
+
+    private static List<String> replicas(World world) {
+        List<String> running = new ArrayList<>();
+        for (int i = 0; i < 8; i++) {
+            if (world.whereIs(ID + "/" + i) != null) {
+                running.add(ID + "/" + i);
+            }
+        }
+        return running;
+    }
+
+    private static Set<String> machines(World world) {
+        Set<String> machines = new HashSet<>();
+        replicas(world).forEach(task -> machines.add(world.whereIs(task).machine().name()));
+        return machines;
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"silent", "notice", "lost session", "leader ends", "state outage"})
+    void lostReplicasRunAgainElsewhere(String trouble) {
+        World world = served(3);
+        FakeWorker worker = world.whereIs(ID + "/0").machine() == null ? null : world.whereIs(ID + "/0");
+        String machine = worker.machine().name();
+        long lost = replicas(world).stream().filter(task -> world.whereIs(task) == worker).count();
+        assertTrue(lost <= 2, "one machine holds few of them");
+        int writes = world.state.writes();
+        switch (trouble) {
+            case "notice" -> worker.notice(8_000_000);
+            case "lost session" -> {
+                world.mute(machine);
+                world.time.passSeconds(10.4);
+                world.heal(machine);
+            }
+            case "leader ends" -> {
+                worker.freeze(true);
+                world.killNode(world.leader());
+            }
+            case "state outage" -> {
+                worker.freeze(true);
+                world.state.down(true);
+                world.time.passSeconds(9);
+                world.state.down(false);
+            }
+            default -> worker.freeze(true);
+        }
+        awaitReplicas(world, 4, 2);
+        for (int i = 0; i < 400 && world.starts.values().stream().mapToInt(Integer::intValue).sum() < 4 + lost; i++) {
+            world.time.pass(100_000);
+        }
+        world.time.passSeconds(1);
+        assertEquals(4, replicas(world).size());
+        assertEquals(4 + lost, world.starts.values().stream().mapToInt(Integer::intValue).sum(), "only what was lost started again");
+        if (!trouble.equals("lost session")) {
+            assertFalse(machines(world).contains(machine));
+        }
+        if (trouble.equals("silent") || trouble.equals("notice")) {
+            // One admission for all that were lost, and the record of the machine types now and then.
+            assertTrue(world.state.writes() - writes <= lost + 2, "changes: " + (world.state.writes() - writes));
+        }
+        assertEquals("running", world.poll(world.alive().get(0), ID).state());
+    }
+
+    @Test
+    void aSilentMachineWithReplicasIsNotWaitedForAsLongAsOthers() {
+        World world = served(1);
+        world.whereIs(ID + "/0").freeze(true);
+        world.time.passSeconds(7.5);
+        awaitReplicas(world, 4, 2.5);
+    }
+
+    @Test
+    void replicasKeepToTheirZonesWhenMachinesAreLostOneByOne() {
+        // The world fails the test when more than half are in one zone.
+        World world = served(2, "apart", true);
+        for (int round = 0; round < 4; round++) {
+            FakeWorker worker = world.whereIs(replicas(world).get(round % replicas(world).size()));
+            worker.freeze(true);
+            world.time.passSeconds(35);
+            assertTrue(world.cloud.released.contains(worker.machine().name()));
+            awaitReplicas(world, 4, 30);
+        }
+    }
+
+    @Test
+    void neverDoneNotEvenWhenAllReplicasEnd() {
+        World world = served(2);
+        world.runMicros.put(ID, 12_000_000L);
+        world.cloud.capacity = 8;
+        FakeWorker worker = world.whereIs(ID + "/1");
+        world.restartMachine(worker.machine().name());
+        world.time.passSeconds(90);
+        assertTrue(world.starts.values().stream().mapToInt(Integer::intValue).sum() > 8, world.starts.toString());
+        assertEquals("running", world.poll("n1", ID).state());
+        assertEquals(200, world.submit("n0", service()).status());
+        world.killNode(world.leader());
+        world.time.passSeconds(12);
+        assertNotEquals("done", world.poll(world.leader(), ID).state());
+        assertEquals("cancelled", world.withdraw(world.leader(), ID).state());
+        assertEquals("cancelled", world.withdraw(world.leader(), ID).state());
+        world.time.passSeconds(20);
+        assertEquals(0, world.runningTasks());
+        assertNotNull(world.state.value("final/" + ID));
+        assertEquals("cancelled", world.submit(world.leader(), service()).state());
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {-1, 200_000})
+    void aReplicaThatAlwaysEndsBacksOffAndStaysKnown(long runMicros) {
+        World world = new World(1);
+        world.time.passSeconds(2);
+        world.runMicros.put(ID, runMicros);
+        assertEquals(201, world.submit("n0", service("beads", 1)).status());
+        world.time.passSeconds(150);
+        assertTrue(world.starts.get(ID + "/0") < 16, world.starts.toString());
+        assertEquals(200, world.poll("n0", ID).status());
+        world.runMicros.put(ID, Long.MAX_VALUE);
+        world.time.passSeconds(62);
+        assertEquals(1, replicas(world).size(), "tried again within the time that a job may wait");
+    }
+
+    @Test
+    void lowerRanksGiveWay() {
+        World world = new World(1);
+        world.time.passSeconds(2);
+        world.cloud.unexpected("large", "a", false);
+        world.cloud.capacity = 1;
+        world.time.passSeconds(7);
+        world.runMicros.put("req-000002", 300_000_000L);
+        world.submit("n0", jobBody("req-000002", "rank", "idle", "beads", 8));
+        world.time.passSeconds(4);
+        world.runMicros.put(ID, Long.MAX_VALUE);
+        world.submit("n0", service());
+        awaitReplicas(world, 4, 4);
+    }
+
+    @Test
+    void allReplicasTogetherHaveToFitTheTeamsLimit() {
+        World world = new World(1);
+        world.time.passSeconds(2);
+        assertEquals(422, world.submit("n0", service("crew", "capped", "beads", 9)).status());
+        assertEquals(422, world.submit("n0", service("cpus", 17.0)).status());
+        assertEquals(400, world.submit("n0", service("expected_s", -1.0)).status());
+        assertEquals(400, world.submit("n0", service("shape", "daemon")).status());
+        assertEquals(404, world.poll("n0", ID).status());
+        assertEquals(201, world.submit("n0", service("crew", "capped", "beads", 8)).status());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/weldcourse/app/UpgradeTest.java
@@ -0,0 +1,214 @@
+package org.weldcourse.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.weldcourse.rehearsal.World.jobBody;
+
+import java.nio.ByteBuffer;
+import java.util.Base64;
+import java.util.BitSet;
+import java.util.HexFormat;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.weldcourse.http.Json;
+import org.weldcourse.peers.PeerStatus;
+import org.weldcourse.rehearsal.FakeNet;
+import org.weldcourse.rehearsal.World;
+import org.weldcourse.settings.Settings;
+
+/**
+ * Beside the version in production, and on its records. {@code production/records.json} holds what that version left in the
+ * scripted state service (values of 4 KiB, 8 changes a transaction) in the middle of a day: a small array with one task
+ * finished, one of 7,000 tasks, a job done and one cancelled; and a frame that it sends to its peers. To take it anew:
+ * check out the commit that deploy/service.toml names, and write out {@code FakeState} after 40 s of such a day.
+ */
+class UpgradeTest {
+    private static final List<Settings.Team> TEAMS = List.of(new Settings.Team("core", 0, 0, 0, 0));
+
+    private static Map<String, Object> production() throws Exception {
+        try (var in = UpgradeTest.class.getResourceAsStream("/production/records.json")) {
+            return Json.object(Json.parse(in.readAllBytes()));
+        }
+    }
+
+    private static World world(int valueBytes, int txnOps, Settings.NextState next) {
+        return new World(2, txnOps, valueBytes, TEAMS, List.of(), next);
+    }
+
+    /** How the production version reads finished tasks, written down here once more and on its own. */
+    private static BitSet finishedAsProductionReads(World world, String id, int tasks, int valueBytes) {
+        int shardTasks = Math.min(16_000, (valueBytes - 64) / 4 * 3 * 8);
+        BitSet finished = new BitSet();
+        for (String key : world.state.keys("done/" + id + "/")) {
+            int number = Integer.parseInt(key.substring(key.lastIndexOf('/') + 1));
+            int from = number * shardTasks;
+            BitSet bits = BitSet.valueOf(Base64.getDecoder().decode((String) world.state.value(key).get("bits")));
+            bits.stream().filter(bit -> from + bit < tasks).forEach(bit -> finished.set(from + bit));
+        }
+        for (String key : world.state.keys("slices/" + id + "/")) {
+            String bits = (String) world.state.value(key).get("bits");
+            if (bits != null) {
+                finished.or(BitSet.valueOf(Base64.getDecoder().decode(bits)));
+            }
+        }
+        return finished;
+    }
+
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void productionsRecordsAreTakenOver(boolean limitsLowered) throws Exception {
+        World world = world(4096, 8, new Settings.NextState(50, 2048, 4));
+        Map<String, Object> records = production();
+        BitSet small = BitSet.valueOf(Base64.getDecoder().decode((String) Json.object(records.get("slices/req-000001/0")).get("bits")));
+        BitSet large = BitSet.valueOf(Base64.getDecoder().decode((String) Json.object(records.get("done/req-000002/0")).get("bits")));
+        assertEquals(1, small.cardinality());
+        assertTrue(large.cardinality() > 1000);
+        world.adopt(Json.object(records.get("open/req-000001")), small);
+        world.adopt(Json.object(records.get("open/req-000002")), large);
+        records.forEach((key, value) -> {
+            if (key.contains("/") || key.equals("types")) {
+                world.state.plant(key, value);
+            }
+        });
+        if (limitsLowered) {
+            world.state.limit(4, 2048);
+        }
+        world.runMicros.put("req-000002", 3_000_000L);
+        world.time.passSeconds(4);
+        world.jobs.put("req-000003", jobBody("req-000003"));
+        world.jobs.put("req-000004", jobBody("req-000004"));
+        assertEquals("cancelled", world.poll("n0", "req-000004").state());
+        assertEquals("running", world.poll("n1", "req-000001").state());
+        assertTrue(world.reaches("n0", "req-000001", "done", 200));
+        assertTrue(world.reaches("n0", "req-000002", "done", 400));
+        assertEquals(3, world.starts.keySet().stream().filter(task -> task.startsWith("req-000001/")).count());
+        assertFalse(world.starts.keySet().stream().anyMatch(task -> task.startsWith("req-000002/")
+                && large.get(Integer.parseInt(task.substring(11)))), "finished tasks don't run again");
+        world.time.passSeconds(30);
+        assertEquals(List.of(), world.state.keys("slices/"));
+        assertEquals(List.of(), world.state.keys("done/"));
+    }
+
+    @ParameterizedTest
+    @ValueSource(ints = {0, 1, 2, 3, 5, 8, 10, 13})
+    void limitsAreLoweredBetweenAnyTwoCommits(int commits) {
+        World world = world(1024, 8, new Settings.NextState(50, 768, 4));
+        int[] seen = new int[1];
+        world.net.fates((from, call) -> {
+            if (call.path().equals("/commit") && seen[0]++ == commits) {
+                world.state.limit(4, 768);
+            }
+            return FakeNet.NORMAL;
+        });
+        world.time.passSeconds(2);
+        for (int i = 0; i < 3; i++) {
+            world.cloud.unexpected("large", i % 2 == 0 ? "a" : "b", false);
+        }
+        for (int i = 0; i < 300; i++) {
+            world.runMicros.put("req-000001/" + i, 2_000_000L + 700_000L * (i % 7));
+        }
+        assertEquals(201, world.submit("n0", jobBody("req-000001", "beads", 300, "cpus", 0.5, "mem_gb", 0.5)).status());
+        world.runMicros.put("req-000002", Long.MAX_VALUE);
+        assertEquals(201, world.submit("n1", jobBody("req-000002", "shape", "service", "rank", "prod", "expected_s", 0.0)).status());
+        world.time.passSeconds(20);
+        world.killNode(world.leader());
+        assertTrue(world.reaches(world.alive().get(0), "req-000001", "done", 200));
+        assertTrue(seen[0] > commits);
+        assertEquals("cancelled", world.withdraw(world.alive().get(0), "req-000002").state());
+        world.time.passSeconds(8);
+        assertEquals(0, world.runningTasks());
+    }
+
+    @Test
+    void recordsWrittenUnderLargerLimitsAreDividedWhenTheyAreWrittenNext() {
+        World world = world(4096, 8, new Settings.NextState(50, 1024, 4));
+        Map<String, Object> body = jobBody("req-000001", "beads", 600, "cpus", 0.1, "mem_gb", 0.1);
+        world.adopt(body, new BitSet());
+        Map<String, Object> open = Json.objectOrEmpty(Json.bytes(body));
+        open.put("accepted", world.time.wallMicros());
+        open.put("cancelled", false);
+        world.state.plant("open/req-000001", open);
+        for (int i = 0; i < 2; i++) {
+            world.cloud.unexpected("large", "a", false);
+        }
+        // Every other task, so that no two make a range: some 2,000 bytes for 300 tasks on two machines.
+        StringBuilder even = new StringBuilder("1:0");
+        StringBuilder odd = new StringBuilder("1:300");
+        for (int task = 2; task < 300; task += 2) {
+            even.append(',').append(task);
+            odd.append(',').append(300 + task);
+        }
+        world.state.plant("slices/req-000001/0", Json.of("last", 1, "n", 1, "machines",
+                Map.of("m-000000", even.toString(), "m-000001", odd.toString()), "bits", ""));
+        int before = Json.bytes(world.state.value("slices/req-000001/0")).length;
+        assertTrue(before > 1024);
+        world.state.limit(4, 1024);
+        for (int task = 0; task < 600; task++) {
+            world.runMicros.put("req-000001/" + task, task % 3 == 0 ? 2_000_000L : 40_000_000L);
+        }
+        world.time.passSeconds(25);
+        BitSet read = finishedAsProductionReads(world, "req-000001", 600, 4096);
+        assertTrue(read.cardinality() > 50, "what is finished is on record: " + read.cardinality());
+        world.killNode(world.leader());
+        assertTrue(world.reaches(world.alive().get(0), "req-000001", "done", 300));
+        assertTrue(world.starts.values().stream().allMatch(count -> count == 1), "none ran again");
+    }
+
+    @Test
+    void productionNeverTakesUnfinishedTasksForFinished() {
+        // Jobs so large that the smaller limit moves the borders between the records of finished tasks.
+        int tasks = 6_500;
+        World world = world(1024, 8, new Settings.NextState(50, 512, 4));
+        world.time.passSeconds(2);
+        for (int i = 0; i < 20; i++) {
+            world.cloud.unexpected("large", "a", false);
+        }
+        world.time.passSeconds(6);
+        for (int task = 0; task < tasks; task++) {
+            world.runMicros.put("req-000001/" + task, task % 2 == 0 ? 1_000_000L : 50_000_000L);
+        }
+        world.submit("n0", jobBody("req-000001", "beads", tasks, "cpus", 0.04, "mem_gb", 0.02));
+        world.time.passSeconds(45);
+        assertTrue(world.state.keys("done/").size() > 1, world.state.keys("done/").toString());
+        BitSet read = finishedAsProductionReads(world, "req-000001", tasks, 1024);
+        for (int task = read.nextSetBit(0); task >= 0; task = read.nextSetBit(task + 1)) {
+            assertTrue(world.hasCompleted("req-000001/" + task), "task " + task);
+        }
+        // And a successor of this version reads all of it.
+        world.killNode(world.leader());
+        assertTrue(world.reaches(world.alive().get(0), "req-000001", "done", 400));
+        assertTrue(world.starts.values().stream().allMatch(count -> count == 1), "none ran again");
+    }
+
+    @Test
+    void aJobTooLargeToBeKeptIsRefusedAtOnceAndAKnownOneKeepsItsAnswer() {
+        World world = world(4096, 8, new Settings.NextState(50, 1024, 4));
+        world.time.passSeconds(2);
+        Map<String, Object> wide = jobBody("req-000001", "blank", "i".repeat(2_000));
+        assertEquals(422, world.submit("n0", wide).status());
+        Map<String, Object> open = Json.objectOrEmpty(Json.bytes(wide));
+        open.put("accepted", world.time.wallMicros());
+        open.put("cancelled", false);
+        world.state.plant("open/req-000001", open);
+        world.state.limit(4, 1024);
+        assertEquals(200, world.submit("n1", wide).status());
+        assertEquals("cancelled", world.withdraw("n1", "req-000001").state(), "it can be cancelled all the same");
+        world.time.passSeconds(5);
+        assertEquals("cancelled", world.poll("n0", "req-000001").state());
+    }
+
+    @Test
+    void framesAreThoseOfProduction() throws Exception {
+        String hex = Json.text(Json.object(production().get("frame")), "hex");
+        PeerStatus status = new PeerStatus("forge-0", 41, true, false, true);
+        assertEquals(status, PeerStatus.decode(ByteBuffer.wrap(HexFormat.of().parseHex(hex))));
+        ByteBuffer ours = status.encode();
+        byte[] bytes = new byte[ours.remaining()];
+        ours.get(bytes);
+        assertEquals(hex, HexFormat.of().formatHex(bytes));
+    }
+}
--- a/src/test/java/org/weldcourse/fleet/FleetPlannerTest.java
+++ b/src/test/java/org/weldcourse/fleet/FleetPlannerTest.java
@@ -27,7 +27,7 @@
 
     private static Host up(double busyCpuSeconds, double takenShare) {
         // What is more important than the least takes its part from that alone.
-        return new Host(LARGE, "a", true, false, 0, busyCpuSeconds * SECOND, new double[] {0, 0, 0, takenShare});
+        return new Host(LARGE, "a", true, false, 0, busyCpuSeconds * SECOND, 0, new double[] {0, 0, 0, takenShare});
     }
 
     private static int rented(Need need, Host... hosts) {
@@ -80,7 +80,7 @@
     void aGangDoesNotCountOnWhatAnotherWaitsFor() throws Exception {
         Need gang = new Need(job("shape", "ensemble", "beads", 3, "cpus", 16.0, "together", true), 3, 60 * SECOND,
                 60 * SECOND);
-        Host booting = new Host(LARGE, "a", true, true, 10 * SECOND, 0, new double[4]);
+        Host booting = new Host(LARGE, "a", true, true, 10 * SECOND, 0, 0, new double[4]);
         List<Host> hosts = List.of(booting, booting, booting);
         assertEquals(0, FleetPlanner.plan(List.of(gang), hosts, List.of(LARGE), Set.of(), 30, 0).size());
         assertEquals(3, FleetPlanner.plan(List.of(gang, gang), hosts, List.of(LARGE), Set.of(), 30, 0).get(0).count());
@@ -90,8 +90,8 @@
     void gapsBetweenTasksAndTheFirstFetchTakeTheirTime() throws Exception {
         // 60 s hold six runs of 10 s, but three when each waits as long for the next.
         assertEquals(0, rented(new Need(job(), 40, 10 * SECOND, 60 * SECOND), up(0, 0)));
-        assertTrue(rented(new Need(job(), 40, 10 * SECOND, 10 * SECOND, 60 * SECOND, Map.of()), up(0, 0)) > 0);
-        Host booting = new Host(LARGE, "a", true, true, 10 * SECOND, 0, new double[4]);
+        assertTrue(rented(new Need(job(), 40, 10 * SECOND, 10 * SECOND, 60 * SECOND, Map.of(), Map.of()), up(0, 0)) > 0);
+        Host booting = new Host(LARGE, "a", true, true, 10 * SECOND, 0, 0, new double[4]);
         assertEquals(0, rented(new Need(job("size_gb", 1.0), 20, 10 * SECOND, 45 * SECOND), booting));
         assertTrue(rented(new Need(job("size_gb", 30.0), 20, 10 * SECOND, 45 * SECOND), booting) > 0);
         // An image that takes longer than there is time is no reason to rent nothing: late is better than never.
--- a/src/test/java/org/weldcourse/rehearsal/FakeState.java
+++ b/src/test/java/org/weldcourse/rehearsal/FakeState.java
@@ -19,8 +19,8 @@
     }
 
     private final FakeTime time;
-    private final int txnOps;
-    private final int valueBytes;
+    private int txnOps;
+    private int valueBytes;
     private final TreeMap<String, Value> values = new TreeMap<>();
     private final List<Change> changes = new ArrayList<>();
     private final Map<Long, Long> leaseEnds = new HashMap<>();
@@ -63,6 +63,18 @@
         return keys;
     }
 
+    /** From now on it takes no more than this; what it holds stays as it is. */
+    public void limit(int newTxnOps, int newValueBytes) {
+        txnOps = newTxnOps;
+        valueBytes = newValueBytes;
+    }
+
+    /** Puts a record there as another version wrote it. */
+    public void plant(String key, Object value) {
+        revision++;
+        put(key, new Value(Json.objectOrEmpty(Json.bytes(value)), revision, 0));
+    }
+
     /** Makes nonsense of a value behind everybody's back. */
     public void garble(String key, Object value) {
         values.computeIfPresent(key, (same, old) -> new Value(value, old.version, old.lease));
--- a/src/test/java/org/weldcourse/rehearsal/World.java
+++ b/src/test/java/org/weldcourse/rehearsal/World.java
@@ -1,6 +1,7 @@
 package org.weldcourse.rehearsal;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -50,6 +51,7 @@
     private final List<Settings.Objective> objectives;
     private final int txnOps;
     private final int valueBytes;
+    private final Settings.NextState next;
 
     public World(int nodes) {
         this(nodes, 16, 32 * 1024, List.of(new Settings.Team("core", 0, 0, 0, 0),
@@ -65,6 +67,13 @@
     }
 
     private World(int nodes, int txnOps, int valueBytes, List<Settings.Team> teams, List<Settings.Objective> objectives) {
+        this(nodes, txnOps, valueBytes, teams, objectives, null);
+    }
+
+    /** A world whose state service may lower its limits to {@code next}; see {@link FakeState#limit}. */
+    public World(int nodes, int txnOps, int valueBytes, List<Settings.Team> teams, List<Settings.Objective> objectives,
+            Settings.NextState next) {
+        this.next = next;
         this.objectives = objectives;
         this.txnOps = txnOps;
         this.valueBytes = valueBytes;
@@ -206,7 +215,7 @@
         return new Settings(name, "a", addressByName.get(name), name + ":81", peers, CLOUD, STATE,
                 List.of("a", "b"), teams, objectives,
                 new Settings.Workers(REPORT_MICROS, LEASE_MICROS, 40_000_000, 4_000_000, CANCEL_MICROS),
-                new Settings.State(250, 50, valueBytes, txnOps), new Settings.Cloud(3, 8_000_000), 500);
+                new Settings.State(250, 50, valueBytes, txnOps, next), new Settings.Cloud(3, 8_000_000), 500);
     }
 
     private void machineUp(FakeCloud.Rented rented) {
@@ -314,6 +323,14 @@
         }
     }
 
+    /** A job that was accepted, and partly done, before this world began: its record holds the user's words. */
+    public void adopt(Map<String, Object> record, BitSet done) {
+        String id = Json.text(record, "name_id");
+        jobs.put(id, record);
+        told.put(id, "open");
+        done.stream().forEach(task -> completed.add(id + "/" + task));
+    }
+
     /** Asks a node and lets time pass until it answers, for five seconds at most; status 0: no answer. */
     public Answer ask(String node, String method, String path, byte[] body) {
         Answer[] answer = new Answer[1];
@@ -356,6 +373,10 @@
         return startsAfterCancellation;
     }
 
+    public boolean hasCompleted(String task) {
+        return completed.contains(task);
+    }
+
     public int runningTasks() {
         return running.size();
     }
--- a/src/test/java/org/weldcourse/settings/SettingsTest.java
+++ b/src/test/java/org/weldcourse/settings/SettingsTest.java
@@ -35,12 +35,26 @@
         assertEquals(2.0, settings.team("t").gpusMax());
     }
 
+    @Test
+    void keepsToTheSmallerOfTheLimitsOfNowAndOfThen() throws Exception {
+        Settings.State state = SettingsFile.parse(new StringReader(FILE.replace("txn_ops = 8",
+                "txn_ops = 8\n[deployment.state.next]\nwrite_rps = 60.0\nvalue_kb = 2.0\ntxn_ops = 4"))).state();
+        assertEquals(2048, state.safeValueBytes());
+        assertEquals(4, state.safeTxnOps());
+        assertEquals(50.0, state.safeWritesPerSecond());
+        assertEquals(4096, SettingsFile.parse(new StringReader(FILE)).state().safeValueBytes());
+    }
+
     @Test
     void namesWhatIsMissingOrInvalid() {
         for (String[] change : new String[][] {
                 {"report_s = 1.5", "", "report_s"}, {"report_s = 1.5", "report_s = 0", "report_s"},
                 {"api_addr = \"10.0.0.1:80\"", "api_addr = \"here\"", "api_addr"},
                 {"[endpoints]", "[elsewhere]", "endpoints"}, {"txn_ops = 8", "txn_ops = \"x\"", "txn_ops"},
+                {"txn_ops = 8", "txn_ops = 0.5", "txn_ops"},
+                {"txn_ops = 8", "txn_ops = 8\nnext = 3", "next"},
+                {"txn_ops = 8", "txn_ops = 8\n[deployment.state.next]\nvalue_kb = 2.0\ntxn_ops = 4", "state.next: missing or invalid field: write_rps"},
+                {"txn_ops = 8", "txn_ops = 8\n[deployment.state.next]\nwrite_rps = 9\nvalue_kb = 0\ntxn_ops = 4", "state.next: must be above 0: value_kb"},
                 {"max_sockets = 500", "max_sockets = 20", "max_sockets = 20 is too small"},
                 {"max_sockets = 500", "max_sockets = 500\nmemory_mb = 64.0", "memory_mb = 64.0 is too small"},
                 {"host_name = \"n-1\"", "host_name = ", "TOML"}}) {
