A service's team gives it room under the team's limit; the bound's margin where cancel_s is near lease_s

A lost replica could wait behind its own team's idle work for as long as that lasted, since only gangs made quota. Read in the code, shown by a test that failed without it.

--- a/src/main/java/org/weldcourse/admission/Planner.java
+++ b/src/main/java/org/weldcourse/admission/Planner.java
@@ -303,6 +303,10 @@
             }
             return;
         }
+        if (job.spec().service() && underLimit < wanted) {
+            // Its own team's lower ranks would else keep a lost replica out for as long as they have work.
+            makeQuota(job, usage, wanted - underLimit);
+        }
         int allowed = Math.min(wanted, underLimit);
         int placed = placeArray(job, usage, Math.min(allowed, bounds.mostTasksPerAdmission));
         if (placed < allowed) {
--- a/src/main/java/org/weldcourse/admission/RenewalBound.java
+++ b/src/main/java/org/weldcourse/admission/RenewalBound.java
@@ -16,7 +16,8 @@
 final class RenewalBound {
     /**
      * For the drift of two clocks over both spans (0.05% each: some 50 ms), and for a worker that looks at its lease, and
-     * ends what it has, a little late. Our own lateness needs none: a report is sent before it is answered.
+     * ends what it has, a little late. Our own lateness needs none: a report is sent before it is answered. Where there is
+     * little time beyond the lease, a quarter of it has to do.
      */
     static final long MARGIN_MICROS = 3_000_000;
     /** Reads come once a second: of an older one too much may be unknown to start anything. */
@@ -27,7 +28,8 @@
     private long readMicros = NEVER;
 
     RenewalBound(Settings.Workers workers) {
-        this.spanMicros = workers.cancelMicros() - workers.leaseMicros() - MARGIN_MICROS;
+        long beyondLeaseMicros = workers.cancelMicros() - workers.leaseMicros();
+        this.spanMicros = beyondLeaseMicros - Math.min(MARGIN_MICROS, beyondLeaseMicros / 4);
     }
 
     /** All changes to open jobs up to this time are known: that of the sending of a read which was answered whole. */
--- a/src/test/java/org/weldcourse/app/MeetingsTest.java
+++ b/src/test/java/org/weldcourse/app/MeetingsTest.java
@@ -53,6 +53,13 @@
             throw new AssertionError(id + " was not accepted");
         }
 
+        /** One machine is up, and there is no other to be had. */
+        void oneLargeMachine() {
+            world.cloud.unexpected("large", "a", false);
+            world.cloud.capacity = 1;
+            world.time.passSeconds(7);
+        }
+
         /** Submits it and waits until all its tasks run. */
         String running(double runSeconds, Object... changes) {
             String id = submit(runSeconds, changes);
@@ -399,9 +406,7 @@
     void arraysInOneZoneStayInItWhenTheyLoseMachines() {
         Day day = new Day(1);
         World world = day.world;
-        world.cloud.unexpected("large", "a", false);
-        world.cloud.capacity = 1;
-        world.time.passSeconds(7);
+        day.oneLargeMachine();
         String id = day.submit(40, "beads", 14, "cpus", 2.0, "together", true, "rigs", List.of("large"));
         String bound = day.submit(40, "beads", 2, "cpus", 2.0, "yard", "a");
         world.time.passSeconds(6);
@@ -496,9 +501,7 @@
     void copiesOfReportsUnderTheSameLeaderTeachNothing() {
         Day day = new Day(1);
         World world = day.world;
-        world.cloud.unexpected("large", "a", false);
-        world.cloud.capacity = 1;
-        world.time.passSeconds(7);
+        day.oneLargeMachine();
         String first = day.running(3, "beads", 1);
         world.time.passSeconds(4);
         FakeWorker worker = world.workers.values().iterator().next();
@@ -726,9 +729,7 @@
     void lateAdmissionOfAnEndedLeaderIsRefused() {
         Day day = new Day(2);
         World world = day.world;
-        world.cloud.unexpected("large", "a", false);
-        world.cloud.capacity = 1;
-        world.time.passSeconds(7);
+        day.oneLargeMachine();
         int[] late = new int[1];
         world.net.fates((from, call) -> isAdmission(call) && late[0]++ == 0 ? 9_000_000 : FakeNet.NORMAL);
         day.submit(10);
@@ -747,9 +748,7 @@
     void lateWriteDoesNotPutBackWhatANewerOneReplaced() {
         Day day = new Day(2);
         World world = day.world;
-        world.cloud.unexpected("large", "a", false);
-        world.cloud.capacity = 1;
-        world.time.passSeconds(7);
+        day.oneLargeMachine();
         int[] late = new int[1];
         world.net.fates((from, call) -> isAdmission(call) && late[0]++ == 0 ? 12_000_000 : FakeNet.NORMAL);
         String id = day.submit(40, "beads", 12);
@@ -776,9 +775,7 @@
     void leaderThatIsRefusedStartsNothing(double healsAfter) {
         Day day = new Day(3);
         World world = day.world;
-        world.cloud.unexpected("large", "a", false);
-        world.cloud.capacity = 1;
-        world.time.passSeconds(7);
+        day.oneLargeMachine();
         String machine = world.workers.keySet().iterator().next();
         // What is admitted on it waits for its next report.
         world.workers.get(machine).freeze(true);
--- a/src/test/java/org/weldcourse/app/ServicesTest.java
+++ b/src/test/java/org/weldcourse/app/ServicesTest.java
@@ -191,6 +191,21 @@
         awaitReplicas(world, 4, 4);
     }
 
+    @Test
+    void itsTeamsLowerRanksGiveWayAtTheTeamsLimit() {
+        World world = new World(1);
+        world.time.passSeconds(2);
+        world.cloud.unexpected("large", "a", false);
+        world.time.passSeconds(7);
+        world.runMicros.put("req-000002", 300_000_000L);
+        world.submit("n0", jobBody("req-000002", "rank", "idle", "beads", 8, "crew", "capped"));
+        world.time.passSeconds(4);
+        assertEquals(4, world.runningTasks(), "the team is at its limit of 8 CPUs");
+        world.runMicros.put(ID, Long.MAX_VALUE);
+        world.submit("n0", service("crew", "capped"));
+        awaitReplicas(world, 4, 5);
+    }
+
     @Test
     void allReplicasTogetherHaveToFitTheTeamsLimit() {
         World world = new World(1);
