--- a/src/test/java/org/weldcourse/app/MeetingsTest.java
+++ b/src/test/java/org/weldcourse/app/MeetingsTest.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.Random;
 import java.util.Set;
+import java.util.function.BiPredicate;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -107,6 +108,21 @@
             throw new AssertionError(id + " could not be cancelled");
         }
 
+        /** Another node than this one. */
+        String peerOf(String node) {
+            return node.equals("n0") ? "n1" : "n0";
+        }
+
+        /** This node and no other is asked, once, and confirms the cancellation. */
+        void cancelThrough(String node, String id) {
+            assertEquals("cancelled", world.withdraw(node, id).state());
+            cancelled.add(id);
+        }
+
+        void eachTaskStartedOnce() {
+            assertTrue(world.starts.values().stream().allMatch(count -> count == 1), world.starts.toString());
+        }
+
         String killLeader() {
             String leader = world.leader();
             assertNotNull(leader);
@@ -147,6 +163,18 @@
 
     private static final double FOREVER = -2;
 
+    /** Holds up such calls, which get no answer in time, and counts them. */
+    private static int[] hold(World world, long micros, BiPredicate<String, Caller.Call> which) {
+        int[] held = new int[1];
+        world.net.fates((from, call) -> {
+            boolean holds = which.test(from, call);
+            held[0] += holds ? 1 : 0;
+            return holds ? micros : FakeNet.NORMAL;
+        });
+        return held;
+    }
+
+
     // A leader that knows less than the users were told
 
     @ParameterizedTest
@@ -160,9 +188,7 @@
         world.refuseState(old, true);
         long sinceMicros = world.time.nowMicros();
         world.time.passSeconds(cancelAfter);
-        String peer = old.equals("n0") ? "n1" : "n0";
-        assertEquals("cancelled", world.withdraw(peer, id).state());
-        day.cancelled.add(id);
+        day.cancelThrough(day.peerOf(old), id);
         world.time.pass(sinceMicros + Math.round(outageAfter * 1e6) - world.time.nowMicros());
         world.state.down(true);
         if (hangs) {
@@ -189,15 +215,10 @@
         String id = day.running(FOREVER);
         World world = day.world;
         String leader = world.leader();
-        int[] hung = new int[1];
-        world.net.fates((from, call) -> {
-            boolean reads = from.equals(leader) && call.path().contains("starts=open/");
-            hung[0] += reads ? 1 : 0;
-            return reads ? 60_000_000 : FakeNet.NORMAL;
-        });
+        int[] hung = hold(world, 60_000_000,
+                (from, call) -> from.equals(leader) && call.path().contains("starts=open/"));
         world.time.passSeconds(2);
-        assertEquals("cancelled", world.withdraw(leader.equals("n0") ? "n1" : "n0", id).state());
-        day.cancelled.add(id);
+        day.cancelThrough(day.peerOf(leader), id);
         world.time.passSeconds(15);
         assertEquals(leader, world.leader());
         assertEquals(4, world.runningTasks());
@@ -217,13 +238,12 @@
         String old = world.leader();
         world.refuseState(old, true);
         world.time.pass(500_000);
-        assertEquals("cancelled", world.withdraw(old.equals("n0") ? "n1" : "n0", id).state());
-        day.cancelled.add(id);
+        day.cancelThrough(day.peerOf(old), id);
         // The old leader kept its workers through an outage of 19 s, and all that is left to the successor is a lease.
         world.state.down(true);
         world.time.passSeconds(19);
         world.state.down(false);
-        world.net.fates((from, call) -> !from.equals(old) && call.path().contains("store?starts=open/") ? 60_000_000 : FakeNet.NORMAL);
+        hold(world, 60_000_000, (from, call) -> !from.equals(old) && call.path().contains("store?starts=open/"));
         world.time.passSeconds(8);
         assertNotEquals(old, world.leader());
         assertEquals(2, day.token());
@@ -244,12 +264,7 @@
         world.time.passSeconds(2);
         day.killLeader();
         assertEquals("cancelled", day.cancel(id));
-        int[] hung = new int[1];
-        world.net.fates((from, call) -> {
-            boolean reads = call.path().contains("starts=slices/");
-            hung[0] += reads ? 1 : 0;
-            return reads ? 60_000_000 : FakeNet.NORMAL;
-        });
+        int[] hung = hold(world, 60_000_000, (from, call) -> call.path().contains("starts=slices/"));
         day.awaitLeader(10);
         world.time.passSeconds(4);
         assertTrue(hung[0] > 0);
@@ -258,7 +273,7 @@
         assertEquals(4, day.tasksOf(stays).size());
         world.net.fates((from, call) -> FakeNet.NORMAL);
         day.endsWell(90);
-        assertTrue(world.starts.values().stream().allMatch(count -> count == 1), world.starts.toString());
+        day.eachTaskStartedOnce();
     }
 
     @Test
@@ -274,8 +289,7 @@
         String successor = world.nodes().stream().filter(node -> !node.equals(old) && world.controller(node).leads())
                 .findFirst().orElseThrow();
         assertTrue(world.controller(old).leads(), "it has heard of nothing");
-        assertEquals("cancelled", world.withdraw(successor, id).state());
-        day.cancelled.add(id);
+        day.cancelThrough(successor, id);
         assertNotEquals(200, world.poll(old, id).status());
         world.time.passSeconds(30);
         assertEquals(4, day.tasksOf(stays).size());
@@ -357,7 +371,7 @@
         assertFalse(world.cloud.released.contains(machine));
         world.cloud.down(false);
         day.endsWell(60);
-        assertTrue(world.starts.values().stream().allMatch(count -> count == 1), world.starts.toString());
+        day.eachTaskStartedOnce();
     }
 
     @ParameterizedTest
@@ -408,7 +422,7 @@
         World world = day.world;
         day.oneLargeMachine();
         String id = day.submit(40, "beads", 14, "cpus", 2.0, "together", true, "rigs", List.of("large"));
-        String bound = day.submit(40, "beads", 2, "cpus", 2.0, "yard", "a");
+        day.submit(40, "beads", 2, "cpus", 2.0, "yard", "a");
         world.time.passSeconds(6);
         assertTrue(day.tasksOf(id).size() >= 4);
         // There is room in the other zone alone, and part of the tasks can't be asked for a while.
@@ -425,7 +439,7 @@
         world.cloud.down(false);
         world.cloud.capacity = 8;
         day.endsWell(300);
-        assertTrue(world.starts.values().stream().anyMatch(count -> count > 1), "some were lost: " + bound);
+        assertTrue(world.starts.values().stream().anyMatch(count -> count > 1), "some were lost");
     }
 
     @ParameterizedTest
@@ -433,12 +447,7 @@
     void commandsHeldUpForSecondsChangeNothingThatIsSettled(long heldMicros) {
         Day day = new Day(2);
         World world = day.world;
-        int[] held = new int[1];
-        world.net.fates((from, call) -> {
-            boolean command = call.path().equals("/orders");
-            held[0] += command ? 1 : 0;
-            return command ? heldMicros : FakeNet.NORMAL;
-        });
+        int[] held = hold(world, heldMicros, (from, call) -> call.path().equals("/orders"));
         world.cloud.unexpected("large", "a", false);
         world.cloud.capacity = 1;
         world.time.passSeconds(6);
@@ -537,7 +546,7 @@
         day.killLeader();
         day.awaitLeader(8);
         day.endsWell(120);
-        assertTrue(world.starts.values().stream().allMatch(count -> count == 1), world.starts.toString());
+        day.eachTaskStartedOnce();
     }
 
     @Test
@@ -763,11 +772,15 @@
         day.killLeader();
         day.awaitLeader(8);
         day.endsWell(120);
-        assertTrue(world.starts.values().stream().allMatch(count -> count == 1), world.starts.toString());
+        day.eachTaskStartedOnce();
     }
 
     private static boolean isAdmission(Caller.Call call) {
-        return call.path().equals("/commit") && new String(Json.bytes(call.body()), StandardCharsets.UTF_8).contains("slices/");
+        return commits(call, "slices/");
+    }
+
+    private static boolean commits(Caller.Call call, String prefix) {
+        return call.path().equals("/commit") && new String(Json.bytes(call.body()), StandardCharsets.UTF_8).contains(prefix);
     }
 
     @ParameterizedTest
@@ -787,8 +800,7 @@
         world.time.after(2_000_000, () -> world.state.down(true));
         world.time.after(Math.round(healsAfter * 1e6), () -> world.workers.get(machine).freeze(false));
         world.time.passSeconds(0.7);
-        assertEquals("cancelled", world.withdraw(old.equals("n0") ? "n1" : "n0", id).state());
-        day.cancelled.add(id);
+        day.cancelThrough(day.peerOf(old), id);
         world.time.passSeconds(healsAfter);
         world.time.passSeconds(3);
         assertEquals(old, world.leader());
@@ -811,9 +823,7 @@
             String id = day.running(8, "beads", 1);
             if (closedMicros[0] == 0) {
                 world.net.fates((from, call) -> {
-                    boolean closes = call.path().equals("/commit")
-                            && new String(Json.bytes(call.body()), StandardCharsets.UTF_8).contains("final/");
-                    closedMicros[0] = closes ? world.time.nowMicros() : closedMicros[0];
+                    closedMicros[0] = commits(call, "final/") ? world.time.nowMicros() : closedMicros[0];
                     return FakeNet.NORMAL;
                 });
                 world.time.passSeconds(15);
@@ -835,6 +845,18 @@
         assertEquals(Set.of("done", "cancelled"), states);
     }
 
+    private static int askAllWithinMilliseconds(World world, String id) {
+        int asked = 0;
+        for (int step = 0; step < 10; step++) {
+            for (String node : world.alive()) {
+                world.pollSoon(node, id);
+                asked++;
+            }
+            world.time.pass(1_000 + 700L * step);
+        }
+        return asked;
+    }
+
     @Test
     void everyNodeIsAskedWithinMillisecondsOfWhatItWasTold() {
         Day day = new Day(3);
@@ -842,22 +864,14 @@
         int asked = 0;
         for (int i = 0; i < 8; i++) {
             String id = day.submit(3, "beads", 1);
-            for (int step = 0; step < 10; step++) {
-                world.alive().forEach(node -> world.pollSoon(node, id));
-                asked += 3;
-                world.time.pass(1_000 + 700L * step);
-            }
+            asked += askAllWithinMilliseconds(world, id);
             assertEquals(200, world.submit(day.node(i), day.bodies.get(id)).status());
             if (i % 2 == 0) {
                 day.cancel(id);
             } else {
                 assertTrue(world.reaches(day.node(i), id, "done", 60));
             }
-            for (int step = 0; step < 10; step++) {
-                world.alive().forEach(node -> world.pollSoon(node, id));
-                asked += 3;
-                world.time.pass(1_000 + 700L * step);
-            }
+            asked += askAllWithinMilliseconds(world, id);
             world.alive().forEach(node -> assertEquals(200, world.submit(node, day.bodies.get(id)).status()));
         }
         world.time.passSeconds(3);
--- a/src/test/java/org/weldcourse/app/ServicesTest.java
+++ b/src/test/java/org/weldcourse/app/ServicesTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.weldcourse.http.Json;
 import org.weldcourse.rehearsal.FakeWorker;
 import org.weldcourse.rehearsal.World;
 
@@ -25,9 +26,7 @@
     private static Map<String, Object> service(Object... changes) {
         Map<String, Object> body = jobBody(ID, "shape", "service", "rank", "prod", "cpus", 1.0, "loaners", false,
                 "expected_s", 0.0);
-        for (int i = 0; i < changes.length; i += 2) {
-            body.put((String) changes[i], changes[i + 1]);
-        }
+        body.putAll(Json.of(changes));
         return body;
     }
 
@@ -62,6 +61,10 @@
         return running;
     }
 
+    private static int starts(World world) {
+        return world.starts.values().stream().mapToInt(Integer::intValue).sum();
+    }
+
     private static Set<String> machines(World world) {
         Set<String> machines = new HashSet<>();
         replicas(world).forEach(task -> machines.add(world.whereIs(task).machine().name()));
@@ -98,12 +101,12 @@
         }
         // A notice is acted on at once, not when it comes to pass.
         int tenths = trouble.equals("notice") ? 40 : 400;
-        for (int i = 0; i < tenths && world.starts.values().stream().mapToInt(Integer::intValue).sum() < 4 + lost; i++) {
+        for (int i = 0; i < tenths && starts(world) < 4 + lost; i++) {
             world.time.pass(100_000);
         }
         world.time.passSeconds(1);
         assertEquals(4, replicas(world).size());
-        assertEquals(4 + lost, world.starts.values().stream().mapToInt(Integer::intValue).sum(), "only what was lost started again");
+        assertEquals(4 + lost, starts(world), "only what was lost started again");
         if (!trouble.equals("lost session")) {
             assertFalse(machines(world).contains(machine));
         }
@@ -147,7 +150,7 @@
         FakeWorker worker = world.whereIs(ID + "/1");
         world.restartMachine(worker.machine().name());
         world.time.passSeconds(90);
-        assertTrue(world.starts.values().stream().mapToInt(Integer::intValue).sum() > 8, world.starts.toString());
+        assertTrue(starts(world) > 8, world.starts.toString());
         assertEquals("running", world.poll("n1", ID).state());
         assertEquals(200, world.submit("n0", service()).status());
         world.killNode(world.leader());
--- a/src/test/java/org/weldcourse/app/UpgradeTest.java
+++ b/src/test/java/org/weldcourse/app/UpgradeTest.java
@@ -39,6 +39,14 @@
         return new World(2, txnOps, valueBytes, TEAMS, List.of(), next);
     }
 
+    /** The record of a job that production accepted. */
+    private static void plantOpen(World world, Map<String, Object> body) {
+        Map<String, Object> open = Json.objectOrEmpty(Json.bytes(body));
+        open.put("accepted", world.time.wallMicros());
+        open.put("cancelled", false);
+        world.state.plant("open/" + Json.text(body, "name_id"), open);
+    }
+
     /** How the production version reads finished tasks, written down here once more and on its own. */
     private static BitSet finishedAsProductionReads(World world, String id, int tasks, int valueBytes) {
         int shardTasks = Math.min(16_000, (valueBytes - 64) / 4 * 3 * 8);
@@ -128,10 +136,7 @@
         World world = world(4096, 8, new Settings.NextState(50, 1024, 4));
         Map<String, Object> body = jobBody("req-000001", "beads", 800, "cpus", 0.1, "mem_gb", 0.1);
         world.adopt(body, new BitSet());
-        Map<String, Object> open = Json.objectOrEmpty(Json.bytes(body));
-        open.put("accepted", world.time.wallMicros());
-        open.put("cancelled", false);
-        world.state.plant("open/req-000001", open);
+        plantOpen(world, body);
         for (int i = 0; i < 2; i++) {
             world.cloud.unexpected("large", "a", false);
         }
@@ -190,10 +195,7 @@
         world.time.passSeconds(2);
         Map<String, Object> wide = jobBody("req-000001", "blank", "i".repeat(2_000));
         assertEquals(422, world.submit("n0", wide).status());
-        Map<String, Object> open = Json.objectOrEmpty(Json.bytes(wide));
-        open.put("accepted", world.time.wallMicros());
-        open.put("cancelled", false);
-        world.state.plant("open/req-000001", open);
+        plantOpen(world, wide);
         world.state.limit(4, 1024);
         assertEquals(200, world.submit("n1", wide).status());
         assertEquals("cancelled", world.withdraw("n1", "req-000001").state(), "it can be cancelled all the same");
--- a/src/test/java/org/weldcourse/rehearsal/World.java
+++ b/src/test/java/org/weldcourse/rehearsal/World.java
@@ -59,15 +59,11 @@
     }
 
     public World(int nodes, int txnOps, int valueBytes, List<Settings.Team> teams) {
-        this(nodes, txnOps, valueBytes, teams, List.of());
+        this(nodes, txnOps, valueBytes, teams, List.of(), null);
     }
 
     public World(int nodes, List<Settings.Objective> objectives) {
-        this(nodes, 16, 32 * 1024, List.of(new Settings.Team("core", 0, 0, 0, 0)), objectives);
-    }
-
-    private World(int nodes, int txnOps, int valueBytes, List<Settings.Team> teams, List<Settings.Objective> objectives) {
-        this(nodes, txnOps, valueBytes, teams, objectives, null);
+        this(nodes, 16, 32 * 1024, List.of(new Settings.Team("core", 0, 0, 0, 0)), objectives, null);
     }
 
     /** A world whose state service may lower its limits to {@code next}; see {@link FakeState#limit}. */
