--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/BudgetKeeper.java
@@ -0,0 +1,164 @@
+package org.weldcourse.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.weldcourse.quota.Amount;
+import org.weldcourse.quota.BudgetPlanner;
+import org.weldcourse.quota.LimitInForce;
+import org.weldcourse.quota.LimitLedger;
+import org.weldcourse.quota.ReservationBook;
+import org.weldcourse.quota.TeamLimit;
+import org.weldcourse.quota.TeamLimitCodec;
+import org.weldcourse.runtime.Timers;
+import org.weldcourse.settings.Settings;
+import org.weldcourse.store.Store.Outcome;
+import org.weldcourse.store.Transaction;
+
+/** Writes the ledger for the leader: budgets as demand moves, and first records from settings. */
+final class BudgetKeeper {
+    private static final Logger LOG = LoggerFactory.getLogger(BudgetKeeper.class);
+    /** The least time between two changes of a team's budgets. */
+    private static final long DIVISION_PAUSE_MICROS = 1_000_000;
+
+    private static final long SEED_PAUSE_MICROS = 1_000_000;
+    private static final long READ_AGAIN_MICROS = 300_000;
+
+    private final Settings settings;
+    private final LimitLedger ledger;
+    private final ReservationBook book;
+    private final BudgetPlanner planner;
+    private final Recorder recorder;
+    private final Timers timers;
+    private final Runnable changed;
+    /** Teams whose demand or limit changed since their budgets were last looked at. */
+    private final Set<String> toDivide = new HashSet<>();
+
+    private final Set<String> writing = new HashSet<>();
+    private final Map<String, Long> dividedMicros = new HashMap<>();
+    private long nextSeedMicros;
+
+    /** {@code changed} runs when a write of budgets has ended, however it did. */
+    BudgetKeeper(
+            Settings settings,
+            LimitLedger ledger,
+            ReservationBook book,
+            BudgetPlanner planner,
+            Recorder recorder,
+            Timers timers,
+            Runnable changed) {
+        this.timers = timers;
+        this.settings = settings;
+        this.ledger = ledger;
+        this.book = book;
+        this.planner = planner;
+        this.recorder = recorder;
+        this.changed = changed;
+    }
+
+    /** The team's budgets have to be looked at. */
+    void look(String team) {
+        toDivide.add(team);
+    }
+
+    /** Changes budgets where demand has moved; {@code waitingTeams} have jobs that wait for a limit. */
+    void divide(Set<String> waitingTeams, LimitAccounts accounts, long nowMicros) {
+        toDivide.addAll(waitingTeams);
+        for (String team : List.copyOf(toDivide)) {
+            boolean due = nowMicros - dividedMicros.getOrDefault(team, -DIVISION_PAUSE_MICROS) >= DIVISION_PAUSE_MICROS;
+            if (due && !writing.contains(team) && accounts.isKnown(team)) {
+                toDivide.remove(team);
+                boolean leaveNoRoom = waitingTeams.contains(team) || !accounts.honoursAll(team);
+                divide(team, leaveNoRoom, accounts.freeBesideBudgets(team), nowMicros);
+            }
+        }
+    }
+
+    private void divide(String team, boolean leaveNoRoom, Amount free, long nowMicros) {
+        Map<String, Amount> budgets = planner.plan(team, free, leaveNoRoom, book, nowMicros);
+        if (budgets != null) {
+            dividedMicros.put(team, nowMicros);
+            write(ledger.limit(team), budgets);
+        }
+    }
+
+    private void write(LimitInForce limit, Map<String, Amount> budgets) {
+        String team = limit.team().team();
+        String key = TeamLimitCodec.key(team);
+        long cohortVersion = limit.cohort() == null ? 0 : limit.cohort().version();
+        TeamLimit next = limit.team().withBudgets(budgets, cohortVersion);
+        book.budgetsPending(team, budgets);
+        writing.add(team);
+        boolean sent = recorder.writeInBackground(
+                txn -> {
+                    limit.guards().forEach(txn::guard);
+                    txn.put(key, TeamLimitCodec.value(next));
+                },
+                (commit, unclear) -> written(next, commit.outcome(), commit.revision()));
+        if (!sent) {
+            settled(team);
+        }
+    }
+
+    private void written(TeamLimit limit, Outcome outcome, long version) {
+        if (outcome == Outcome.OK) {
+            ledger.written(limit.withVersion(version));
+            settled(limit.team());
+            changed.run();
+        } else {
+            settleByRecord(limit.team());
+        }
+    }
+
+    /**
+     * A write was refused, or carried out by an earlier try: what stands on record tells. Until it was read the budgets of
+     * the write count, since admissions of other teams of the cohort are not written on this team's record.
+     */
+    private void settleByRecord(String team) {
+        ledger.refresh(team, isRead -> {
+            if (isRead) {
+                settled(team);
+                changed.run();
+            } else {
+                timers.after(READ_AGAIN_MICROS, () -> settleByRecord(team));
+            }
+        });
+    }
+
+    private void settled(String team) {
+        writing.remove(team);
+        book.budgetsPending(team, Map.of());
+        toDivide.add(team);
+    }
+
+    /** Teams without a record get the limit of this node's settings. */
+    void seedMissing(long nowMicros) {
+        if (!ledger.isLoaded() || nowMicros < nextSeedMicros) {
+            return;
+        }
+        nextSeedMicros = nowMicros + SEED_PAUSE_MICROS;
+        List<TeamLimit> missing = new ArrayList<>();
+        for (Settings.Team team : settings.teams()) {
+            boolean absent = ledger.limit(team.name()) == null && !ledger.isUnreadable(team.name());
+            if (absent && missing.size() < settings.state().safeTxnOps()) {
+                missing.add(LimitLedger.seed(team));
+            }
+        }
+        if (!missing.isEmpty()) {
+            recorder.writeInBackground(txn -> missing.forEach(limit -> addNew(txn, limit)), (commit, unclear) -> {
+                LOG.info("{} team limits put on record from settings: {}", missing.size(), commit.outcome());
+                missing.forEach(limit -> ledger.refresh(limit.team(), isRead -> {}));
+            });
+        }
+    }
+
+    private static void addNew(Transaction txn, TeamLimit limit) {
+        String key = TeamLimitCodec.key(limit.team());
+        txn.guard(key, 0).put(key, TeamLimitCodec.value(limit));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/LimitAccounts.java
@@ -0,0 +1,176 @@
+package org.weldcourse.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.weldcourse.admission.Snapshot.CohortView;
+import org.weldcourse.admission.Snapshot.TeamView;
+import org.weldcourse.quota.Amount;
+import org.weldcourse.quota.CohortLimit;
+import org.weldcourse.quota.LimitInForce;
+import org.weldcourse.quota.LimitLedger;
+import org.weldcourse.quota.LimitRoom;
+import org.weldcourse.quota.ReservationBook;
+import org.weldcourse.settings.Settings;
+
+/**
+ * What counts against each limit at one moment: bookings without evidence of their end, reservations that are not booked
+ * yet, and budgets. Where something of it is not known, nothing may be admitted: for the team alone, or for all teams of
+ * the cohort that it belongs to.
+ */
+final class LimitAccounts {
+    private final ClusterState cluster;
+    private final Settings settings;
+    private final LimitLedger ledger;
+    private final ReservationBook book;
+    private final boolean ledgerIsRead;
+    private final Map<String, LimitRoom> teamRooms = new HashMap<>();
+    private final Map<String, LimitRoom> cohortRooms = new HashMap<>();
+    private final Map<String, ReservationBook.Account> accounts = new HashMap<>();
+    private final Set<String> blockedCohorts = new HashSet<>();
+
+    /** {@code ledgerIsRead}: the ledger shows all that was written before this leader's election. */
+    LimitAccounts(
+            ClusterState cluster, Settings settings, LimitLedger ledger, ReservationBook book, boolean ledgerIsRead) {
+        this.ledgerIsRead = ledgerIsRead;
+        this.cluster = cluster;
+        this.settings = settings;
+        this.ledger = ledger;
+        this.book = book;
+        if (ledgerIsRead) {
+            settings.teams().forEach(team -> openRooms(team.name()));
+            settings.teams().forEach(team -> honourReservations(team.name()));
+        }
+    }
+
+    private void openRooms(String team) {
+        LimitInForce limit = ledger.limit(team);
+        if (limit == null) {
+            return;
+        }
+        Amount certain = cluster.used(team).plus(book.budgets(team));
+        teamRooms.put(team, new LimitRoom(limit.team().limit(), certain));
+        CohortLimit cohort = limit.cohort();
+        if (cohort == null) {
+            return;
+        }
+        cohortRooms
+                .computeIfAbsent(cohort.name(), name -> new LimitRoom(cohort.limit(), ofUnreadable(name)))
+                .take(certain);
+        if (!book.isUpToDate(team)) {
+            blockedCohorts.add(cohort.name());
+        }
+    }
+
+    /** What teams use whose records can't be read, and that may belong to the cohort. */
+    private Amount ofUnreadable(String cohort) {
+        Amount sum = Amount.ZERO;
+        for (Settings.Team team : settings.teams()) {
+            if (ledger.limit(team.name()) == null && ledger.mayBelongTo(team.name(), cohort)) {
+                sum = sum.plus(cluster.used(team.name()));
+            }
+        }
+        return sum;
+    }
+
+    private void honourReservations(String team) {
+        if (isKnown(team)) {
+            accounts.put(team, book.account(team, teamRooms.get(team), cohortRoom(team), this::unusedTasks));
+        }
+    }
+
+    /** Reserved tasks of a job that wait and are not booked. */
+    private int unusedTasks(String id) {
+        Job job = cluster.jobs.get(id);
+        if (job == null || job.cancelled || job.closed) {
+            return 0;
+        }
+        int unused = Math.max(0, book.reservedTasks(id) - job.bookings.size());
+        return Math.min(unused, job.pending.cardinality());
+    }
+
+    private LimitRoom cohortRoom(String team) {
+        LimitInForce limit = ledger.limit(team);
+        return limit == null || limit.cohort() == null
+                ? null
+                : cohortRooms.get(limit.cohort().name());
+    }
+
+    /** Whether all is known that counts against the limits of the team. */
+    boolean isKnown(String team) {
+        LimitInForce limit = ledger.limit(team);
+        return ledgerIsRead
+                && limit != null
+                && book.isUpToDate(team)
+                && (limit.cohort() == null
+                        || !blockedCohorts.contains(limit.cohort().name()));
+    }
+
+    /** Whether all reservations of the team fit under its limits. */
+    boolean honoursAll(String team) {
+        ReservationBook.Account account = accounts.get(team);
+        return account != null && account.honoursAll();
+    }
+
+    /** What the team's limits leave besides its own budgets. */
+    Amount freeBesideBudgets(String team) {
+        Amount budgets = book.budgets(team);
+        Amount free = teamRooms.get(team).freeWithout(budgets);
+        LimitRoom cohort = cohortRoom(team);
+        return cohort == null ? free : free.least(cohort.freeWithout(budgets));
+    }
+
+    /** How many of the job's waiting tasks are counted as reserved. */
+    int coveredTasks(Job job) {
+        ReservationBook.Account account = accounts.get(job.spec.team());
+        return account == null ? 0 : account.coveredTasks().getOrDefault(job.spec.id(), 0);
+    }
+
+    /** The teams as the planner sees them. */
+    List<TeamView> views() {
+        List<TeamView> views = new ArrayList<>(settings.teams().size());
+        for (Settings.Team team : settings.teams()) {
+            views.add(view(team));
+        }
+        return views;
+    }
+
+    private TeamView view(Settings.Team team) {
+        String name = team.name();
+        if (isKnown(name)) {
+            LimitInForce limit = ledger.limit(name);
+            Settings.Team terms = new Settings.Team(
+                    name,
+                    limit.team().guarantee().cpus(),
+                    limit.team().limit().cpuLimit(),
+                    limit.team().guarantee().gpus(),
+                    limit.team().limit().gpuLimit());
+            Amount taken = teamRooms.get(name).taken();
+            return new TeamView(terms, taken.cpus(), taken.gpus(), cohortView(limit));
+        }
+        boolean awaitsRecord = ledgerIsRead && ledger.limit(name) == null && !ledger.isUnreadable(name);
+        return awaitsRecord
+                ? new TeamView(team, cluster.usedCpus(name), cluster.usedGpus(name))
+                : new TeamView(team, Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY);
+    }
+
+    private CohortView cohortView(LimitInForce limit) {
+        if (limit.cohort() == null) {
+            return null;
+        }
+        LimitRoom room = cohortRooms.get(limit.cohort().name());
+        return new CohortView(
+                limit.cohort().name(),
+                orInfinity(room.limit().cpuLimit()),
+                orInfinity(room.limit().gpuLimit()),
+                room.taken().cpus(),
+                room.taken().gpus());
+    }
+
+    private static double orInfinity(double limit) {
+        return limit > 0 ? limit : Double.POSITIVE_INFINITY;
+    }
+}
--- a/src/main/java/org/weldcourse/admission/OverLimitStops.java
+++ b/src/main/java/org/weldcourse/admission/OverLimitStops.java
@@ -2,30 +2,59 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.weldcourse.quota.Amount;
+import org.weldcourse.quota.CohortLimit;
+import org.weldcourse.quota.LimitInForce;
+import org.weldcourse.quota.TeamLimit;
 
-/** Which tasks of a team are stopped when it runs more than its limit: low priority first, then the latest. */
+/**
+ * Which tasks are stopped when a team or a cohort runs more than its limit: low priority first, then the latest. A gang is
+ * stopped whole, and named by one of its tasks.
+ */
 final class OverLimitStops {
-    private OverLimitStops() {}
+    private final Amount limit;
+    /** What each team keeps: nothing under its own limit, its guarantee under its cohort's. */
+    private final Map<String, Amount> keptByTeam;
 
-    /** Bookings to stop so that what stays fits the limit. A gang is stopped whole, by one of its tasks. */
-    static List<Booking> choose(ClusterState cluster, String team, Amount limit) {
-        List<Booking> candidates = new ArrayList<>();
-        Amount staying = Amount.ZERO;
+    private final Map<String, Amount> stayingByTeam = new HashMap<>();
+    private final List<Booking> candidates = new ArrayList<>();
+
+    private OverLimitStops(Amount limit, Map<String, Amount> keptByTeam, ClusterState cluster) {
+        this.limit = limit;
+        this.keptByTeam = keptByTeam;
         for (Job job : cluster.jobs.values()) {
-            if (!job.spec.team().equals(team)) {
-                continue;
-            }
-            for (Booking booking : job.bookings.values()) {
-                if (!booking.stop) {
-                    candidates.add(booking);
-                    staying = staying.plus(amount(booking));
-                }
+            if (keptByTeam.containsKey(job.spec.team())) {
+                job.bookings.values().forEach(this::consider);
             }
         }
+    }
+
+    /** Bookings to stop so that what stays fits the team's limit. */
+    static List<Booking> ofTeam(ClusterState cluster, TeamLimit team) {
+        return new OverLimitStops(team.limit(), Map.of(team.team(), Amount.ZERO), cluster).choose();
+    }
+
+    /** Bookings to stop so that what stays of all members fits the cohort's limit. */
+    static List<Booking> ofCohort(ClusterState cluster, CohortLimit cohort, List<LimitInForce> members) {
+        Map<String, Amount> guarantees = new HashMap<>();
+        members.forEach(
+                member -> guarantees.put(member.team().team(), member.team().guarantee()));
+        return new OverLimitStops(cohort.limit(), guarantees, cluster).choose();
+    }
+
+    private void consider(Booking booking) {
+        if (!booking.stop) {
+            candidates.add(booking);
+            stayingByTeam.merge(booking.job.spec.team(), amount(booking), Amount::plus);
+        }
+    }
+
+    private List<Booking> choose() {
         candidates.sort(Comparator.comparing((Booking booking) -> booking.job.spec.rank())
                 .thenComparingLong(booking -> booking.bookedMicros)
                 .thenComparing(booking -> booking.job.spec.id())
@@ -34,21 +63,32 @@
         List<Booking> stops = new ArrayList<>();
         Set<Job> stoppedGangs = new HashSet<>();
         for (Booking booking : candidates) {
-            if (staying.fitsInto(limit)) {
+            if (sum().fitsInto(limit)) {
                 break;
             }
             Job job = booking.job;
-            if (!job.spec.gang()) {
+            boolean gang = job.spec.gang();
+            Amount leaving = gang ? amount(booking).times(job.bookings.size()) : amount(booking);
+            if (mayGoWithout(job.spec.team(), leaving) && (!gang || stoppedGangs.add(job))) {
                 stops.add(booking);
-                staying = staying.minus(amount(booking));
-            } else if (stoppedGangs.add(job)) {
-                stops.add(booking);
-                staying = staying.minus(amount(booking).times(job.bookings.size()));
+                stayingByTeam.computeIfPresent(job.spec.team(), (team, staying) -> staying.minus(leaving));
             }
         }
         return stops;
     }
 
+    private boolean mayGoWithout(String team, Amount leaving) {
+        return keptByTeam.get(team).fitsInto(stayingByTeam.get(team).minus(leaving));
+    }
+
+    private Amount sum() {
+        Amount sum = Amount.ZERO;
+        for (Amount staying : stayingByTeam.values()) {
+            sum = sum.plus(staying);
+        }
+        return sum;
+    }
+
     private static Amount amount(Booking booking) {
         return Amount.of(booking.job.spec.cpus(), booking.job.spec.gpus());
     }
--- a/src/main/java/org/weldcourse/admission/Planner.java
+++ b/src/main/java/org/weldcourse/admission/Planner.java
@@ -57,8 +57,12 @@
         for (MachineView machine : snapshot.machines()) {
             rooms.add(new MachineRoom(machine, nowMicros + bounds.aheadMicros, nowMicros));
         }
+        Map<String, TeamUsage.CohortUsage> cohorts = new HashMap<>();
         for (TeamView team : snapshot.teams()) {
-            usages.put(team.team().name(), new TeamUsage(team));
+            TeamUsage.CohortUsage cohort = team.cohort() == null
+                    ? null
+                    : cohorts.computeIfAbsent(team.cohort().name(), name -> new TeamUsage.CohortUsage(team.cohort()));
+            usages.put(team.team().name(), new TeamUsage(team, cohort));
         }
     }
 
@@ -97,10 +101,13 @@
 
     /** Admits as much of the job as its team's limit and the room allow, and tells how many tasks now count as used. */
     private int place(JobView job, TeamUsage usage, int wanted) {
-        int underLimit = usage.underLimit(job.spec());
+        // What is reserved fits for certain, also where a job before this one waits for the limit and keeps room to
+        // itself:
+        // each would else wait for the other.
+        int underLimit = Math.max(job.coveredTasks(), usage.underLimit(job.spec()));
         if (job.spec().gang()) {
             if (underLimit < wanted) {
-                makeQuota(job, usage, wanted - underLimit);
+                makeQuota(job, usage, wanted);
                 usage.take(job.spec(), wanted);
                 waiting.add(new Decisions.Waiting(job.spec(), wanted, true));
                 return wanted;
@@ -113,7 +120,10 @@
         }
         if (job.spec().service() && underLimit < wanted) {
             // Its own team's lower ranks would else keep a lost replica out for as long as they have work.
-            makeQuota(job, usage, wanted - underLimit);
+            makeQuota(job, usage, wanted);
+        } else if (usage.underCohortLimit(job.spec()) < Math.min(wanted, usage.underGuarantee(job.spec()))) {
+            // Others of the cohort have borrowed what the team now claims.
+            makeQuota(job, usage, Math.min(wanted, usage.underGuarantee(job.spec())));
         }
         int allowed = Math.min(wanted, underLimit);
         int placed = placeArray(job, usage, Math.min(allowed, bounds.mostTasksPerAdmission));
@@ -592,37 +602,21 @@
         return candidates;
     }
 
-    /** The team's own work of lower rank stands in the way of its limit: stop as much as is missing. */
-    private void makeQuota(JobView job, TeamUsage usage, int tasksMissing) {
-        double cpusMissing = job.spec().cpus() * tasksMissing;
-        double gpusMissing = job.spec().gpus() * tasksMissing;
-        List<Victim> own = new ArrayList<>();
+    /**
+     * Limits stand in the way of so many tasks of the job: stop as much as is missing, or nothing if that is not enough.
+     * The team's own limit is made room under by its own work of lower rank alone, its cohort's also by what other teams
+     * borrow.
+     */
+    private void makeQuota(JobView job, TeamUsage usage, int tasks) {
+        QuotaVictims victims = new QuotaVictims(job, usage, tasks, usages, nowMicros);
         for (MachineRoom room : rooms) {
             for (TaskView task : room.machine.load().tasks()) {
-                if (task.job().team().equals(job.spec().team())
-                        && task.job().rank().compareTo(job.spec().rank()) > 0) {
-                    own.add(new Victim(room, task));
-                }
-            }
-        }
-        own.sort(Comparator.comparing((Victim victim) -> !victim.task.stopping())
-                .thenComparingLong(victim -> victim.task.lostMicros(nowMicros)));
-        List<Victim> chosen = new ArrayList<>();
-        for (Victim victim : own) {
-            if (cpusMissing <= EPSILON && gpusMissing <= EPSILON) {
-                break;
+                victims.consider(room, task);
             }
-            cpusMissing -= victim.task.job().cpus();
-            gpusMissing -= victim.task.job().gpus();
-            chosen.add(victim);
-        }
-        if (cpusMissing <= EPSILON && gpusMissing <= EPSILON) {
-            chosen.forEach(victim -> stop(victim.room, victim.task));
         }
+        victims.choose().forEach(victim -> stop(victim.room(), victim.task()));
     }
 
-    private record Victim(MachineRoom room, TaskView task) {}
-
     private void stop(MachineRoom room, TaskView victim) {
         if (room.victims.isEmpty()) {
             room.victims = Collections.newSetFromMap(new IdentityHashMap<>());
--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/QuotaVictims.java
@@ -0,0 +1,108 @@
+package org.weldcourse.admission;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.weldcourse.admission.Snapshot.JobView;
+import org.weldcourse.admission.Snapshot.TaskView;
+import org.weldcourse.fleet.MachineType;
+import org.weldcourse.jobs.JobSpec;
+
+/** Chooses the tasks to stop so that a job fits under the limits of its team and its team's cohort. */
+final class QuotaVictims {
+    private final JobView job;
+    private final TeamUsage usage;
+    private final Map<String, TeamUsage> usages;
+    private final long nowMicros;
+    private final boolean claimsGuarantee;
+    private final Missing missingOwn;
+    private final Missing missingInCohort;
+    private final List<Victim> own = new ArrayList<>();
+    private final List<Victim> others = new ArrayList<>();
+
+    /** A task that may be stopped, and the machine that it is booked on. */
+    record Victim(MachineRoom room, TaskView task) {}
+
+    /** What has to be freed under one limit. */
+    private static final class Missing {
+        private double cpus;
+        private double gpus;
+
+        Missing(JobSpec job, int tasks) {
+            cpus = job.cpus() * Math.max(0, tasks);
+            gpus = job.gpus() * Math.max(0, tasks);
+        }
+
+        boolean isNothing() {
+            return cpus <= MachineType.EPSILON && gpus <= MachineType.EPSILON;
+        }
+
+        void free(JobSpec victim) {
+            cpus -= victim.cpus();
+            gpus -= victim.gpus();
+        }
+    }
+
+    QuotaVictims(JobView job, TeamUsage usage, int tasks, Map<String, TeamUsage> usages, long nowMicros) {
+        this.job = job;
+        this.usage = usage;
+        this.usages = usages;
+        this.nowMicros = nowMicros;
+        this.claimsGuarantee = usage.withinGuarantee(job.spec(), tasks);
+        this.missingOwn = new Missing(job.spec(), tasks - usage.underOwnLimit(job.spec()));
+        this.missingInCohort = new Missing(job.spec(), tasks - usage.underCohortLimit(job.spec()));
+    }
+
+    /** Takes note of a booked task. */
+    void consider(MachineRoom room, TaskView task) {
+        JobSpec spec = task.job();
+        boolean lowerRank = spec.rank().compareTo(job.spec().rank()) > 0;
+        if (spec.team().equals(job.spec().team())) {
+            if (lowerRank) {
+                own.add(new Victim(room, task));
+            }
+        } else if ((lowerRank || claimsGuarantee || task.stopping())
+                && usage.sharesCohortWith(usages.get(spec.team()))) {
+            others.add(new Victim(room, task));
+        }
+    }
+
+    /** The tasks to stop: what leaves anyway first, then the least work lost. None, if all of them would not do. */
+    List<Victim> choose() {
+        Comparator<Victim> order = Comparator.comparing((Victim victim) -> !victim.task.stopping())
+                .thenComparingLong(victim -> victim.task.lostMicros(nowMicros));
+        own.sort(order);
+        others.sort(order);
+        List<Victim> chosen = new ArrayList<>();
+        for (Victim victim : own) {
+            if (!missingOwn.isNothing() || !missingInCohort.isNothing()) {
+                chosen.add(victim);
+                missingOwn.free(victim.task.job());
+                missingInCohort.free(victim.task.job());
+            }
+        }
+        chooseBorrowed(chosen);
+        return missingOwn.isNothing() && missingInCohort.isNothing() ? chosen : List.of();
+    }
+
+    /** What other teams run within their guarantees stays. */
+    private void chooseBorrowed(List<Victim> chosen) {
+        Map<TeamUsage, double[]> taken = new HashMap<>();
+        for (Victim victim : others) {
+            if (missingInCohort.isNothing()) {
+                return;
+            }
+            JobSpec spec = victim.task.job();
+            TeamUsage lender = usages.get(spec.team());
+            double[] less = taken.computeIfAbsent(lender, team -> new double[2]);
+            if (victim.task.stopping() || lender.borrowsWithout(less[0] + spec.cpus(), less[1] + spec.gpus())) {
+                less[0] += spec.cpus();
+                less[1] += spec.gpus();
+                chosen.add(victim);
+                missingInCohort.free(spec);
+            }
+        }
+    }
+}
--- a/src/main/java/org/weldcourse/admission/RecordedLimits.java
+++ b/src/main/java/org/weldcourse/admission/RecordedLimits.java
@@ -1,54 +1,42 @@
 package org.weldcourse.admission;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.slf4j.Logger;
-import org.slf4j.LoggerFactory;
 import org.weldcourse.admission.Snapshot.TeamView;
 import org.weldcourse.quota.Amount;
 import org.weldcourse.quota.BudgetPlanner;
+import org.weldcourse.quota.CohortLimit;
+import org.weldcourse.quota.LimitInForce;
 import org.weldcourse.quota.LimitLedger;
 import org.weldcourse.quota.OverLimit;
 import org.weldcourse.quota.Reservation;
 import org.weldcourse.quota.ReservationBook;
-import org.weldcourse.quota.TeamLimit;
 import org.weldcourse.quota.TeamLimitCodec;
+import org.weldcourse.runtime.Timers;
 import org.weldcourse.settings.Settings;
-import org.weldcourse.store.Store.Outcome;
 import org.weldcourse.store.Transaction;
 
 /**
- * The limits of the ledger, as the leader enforces them. Each admission is written on the version of its team's record
- * that it was decided on. What other controllers reserved, or may still reserve out of their budgets, counts as taken.
+ * The limits of the ledger, as the leader enforces them. Each admission is written on the versions of the records that it
+ * was decided on. What other controllers reserved, or may still reserve out of their budgets, counts as taken.
  */
 final class RecordedLimits implements TeamLimits {
-    private static final Logger LOG = LoggerFactory.getLogger(RecordedLimits.class);
-    /** The least time between two changes of a team's budgets. */
-    private static final long DIVISION_PAUSE_MICROS = 1_000_000;
-
-    private static final long SEED_PAUSE_MICROS = 1_000_000;
+    private static final long READ_AGAIN_MICROS = 300_000;
 
     private final ClusterState cluster;
     private final Settings settings;
     private final LimitLedger ledger;
-    private final BudgetPlanner planner;
-    private final Recorder recorder;
     private final Office office;
+    private final Timers timers;
+    private final long epochVersion;
     private final ReservationBook book = new ReservationBook();
+    private final BudgetKeeper budgets;
     private final Runnable onLedgerChange = this::ledgerChanged;
-    private final Map<String, Integer> coveredTasks = new HashMap<>();
-    /** What counted in this cycle against the limits of teams whose budgets may have to change. */
-    private final Map<String, Amount> committedByTeam = new HashMap<>();
-    /** Teams whose demand or limit changed since their budgets were last looked at. */
-    private final Set<String> toDivide = new HashSet<>();
-
-    private final Set<String> writing = new HashSet<>();
-    private final Map<String, Long> dividedMicros = new HashMap<>();
-    private long nextSeedMicros;
+    private LimitAccounts accounts;
+    private boolean ended;
 
     /** What the term does for its limits. */
     interface Office {
@@ -58,6 +46,7 @@
         /** Something changed that the next cycle may act on. */
         void limitsChanged();
 
+        /** A steady reading of the clock. */
         long nowMicros();
     }
 
@@ -67,15 +56,36 @@
             LimitLedger ledger,
             BudgetPlanner planner,
             Recorder recorder,
+            Timers timers,
+            long epochVersion,
             Office office) {
+        this.timers = timers;
+        this.epochVersion = epochVersion;
         this.cluster = cluster;
         this.settings = settings;
         this.ledger = ledger;
-        this.planner = planner;
-        this.recorder = recorder;
         this.office = office;
+        this.budgets = new BudgetKeeper(settings, ledger, book, planner, recorder, timers, office::limitsChanged);
         ledger.onChange(onLedgerChange);
         takeOverLedger();
+        accounts = account();
+        readLedger();
+    }
+
+    /**
+     * The leader before this one may have granted budgets shortly before its end. Until the ledger was read up to the
+     * election, nothing counts as known: after it only this leader grants any.
+     */
+    private void readLedger() {
+        ledger.readAgain(isRead -> {
+            if (!isRead && !ended && !ledger.isReadUpTo(epochVersion)) {
+                timers.after(READ_AGAIN_MICROS, this::readLedger);
+            }
+        });
+    }
+
+    private LimitAccounts account() {
+        return new LimitAccounts(cluster, settings, ledger, book, ledger.isReadUpTo(epochVersion));
     }
 
     private void ledgerChanged() {
@@ -86,11 +96,11 @@
     private void takeOverLedger() {
         boolean behind = false;
         for (Settings.Team team : settings.teams()) {
-            TeamLimit limit = ledger.limit(team.name());
+            LimitInForce limit = ledger.limit(team.name());
             if (limit != null) {
                 book.limitSeen(limit);
                 behind |= !book.isUpToDate(team.name());
-                toDivide.add(team.name());
+                budgets.look(team.name());
             }
         }
         if (behind) {
@@ -100,62 +110,31 @@
 
     @Override
     public List<TeamView> views(long nowMicros) {
-        coveredTasks.clear();
-        committedByTeam.clear();
-        List<TeamView> views = new ArrayList<>(settings.teams().size());
-        for (Settings.Team team : settings.teams()) {
-            views.add(view(team));
-        }
-        return views;
-    }
-
-    private TeamView view(Settings.Team team) {
-        String name = team.name();
-        TeamLimit limit = ledger.limit(name);
-        if (!ledger.isLoaded() || ledger.isUnreadable(name) || limit != null && !book.isUpToDate(name)) {
-            return new TeamView(team, Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY);
-        }
-        if (limit == null) {
-            return new TeamView(team, cluster.usedCpus(name), cluster.usedGpus(name));
-        }
-        ReservationBook.Account account = book.account(name, limit.limit(), cluster.used(name), this::unusedTasks);
-        coveredTasks.putAll(account.coveredTasks());
-        committedByTeam.put(name, account.committed());
-        Settings.Team terms = new Settings.Team(
-                name,
-                limit.guarantee().cpus(),
-                limit.limit().cpuLimit(),
-                limit.guarantee().gpus(),
-                limit.limit().gpuLimit());
-        return new TeamView(terms, account.counted().cpus(), account.counted().gpus());
-    }
-
-    private int unusedTasks(String id) {
-        Job job = cluster.jobs.get(id);
-        if (job == null || job.cancelled || job.closed) {
-            return 0;
-        }
-        int unused = Math.max(0, book.reservedTasks(id) - job.bookings.size());
-        return Math.min(unused, job.pending.cardinality());
+        accounts = account();
+        return accounts.views();
     }
 
     @Override
     public int coveredTasks(Job job) {
-        return coveredTasks.getOrDefault(job.spec.id(), 0);
+        return accounts.coveredTasks(job);
     }
 
     @Override
     public void guard(Transaction admission, Job job) {
         String team = job.spec.team();
-        TeamLimit limit = ledger.limit(team);
-        admission.guard(TeamLimitCodec.key(team), limit == null ? 0 : limit.version());
+        LimitInForce limit = ledger.limit(team);
+        if (limit == null) {
+            admission.guard(TeamLimitCodec.key(team), 0);
+        } else {
+            limit.guards().forEach(admission::guard);
+        }
     }
 
     @Override
     public void conditionFailed(Job job, List<Object> keys) {
-        String team = job.spec.team();
-        if (keys.contains(TeamLimitCodec.key(team))) {
-            ledger.refresh(team, () -> {});
+        boolean ofLedger = keys.stream().anyMatch(key -> String.valueOf(key).startsWith(TeamLimitCodec.PREFIX));
+        if (ofLedger) {
+            ledger.refresh(job.spec.team(), isRead -> {});
         }
     }
 
@@ -169,7 +148,7 @@
         book.jobSeen(job.spec.id(), job.spec.team(), perTask, reservation);
         Amount atOnce = perTask.times(job.spec.tasksAtOnce());
         book.demanded(job.spec.team(), reservation.owner(), atOnce, office.nowMicros());
-        toDivide.add(job.spec.team());
+        budgets.look(job.spec.team());
     }
 
     @Override
@@ -190,127 +169,126 @@
                 waitingTeams.add(item.spec().team());
             }
         }
-        toDivide.addAll(waitingTeams);
-        for (String team : List.copyOf(toDivide)) {
-            boolean due = nowMicros - dividedMicros.getOrDefault(team, -DIVISION_PAUSE_MICROS) >= DIVISION_PAUSE_MICROS;
-            if (due && committedByTeam.containsKey(team) && !writing.contains(team)) {
-                toDivide.remove(team);
-                divide(team, waitingTeams.contains(team), nowMicros);
-            }
-        }
-        if (ledger.isLoaded() && nowMicros >= nextSeedMicros) {
-            nextSeedMicros = nowMicros + SEED_PAUSE_MICROS;
-            seedMissing();
-        }
-    }
-
-    private void divide(String team, boolean waits, long nowMicros) {
-        TeamLimit limit = ledger.limit(team);
-        if (limit == null || !book.isUpToDate(team)) {
-            return;
-        }
-        // What this cycle booked counts as well: the account was made before it.
-        ReservationBook.Account account = book.account(team, limit.limit(), cluster.used(team), this::unusedTasks);
-        boolean leaveNoRoom = waits || !account.honoursAll();
-        Map<String, Amount> budgets = planner.plan(limit, account.committed(), leaveNoRoom, book, nowMicros);
-        if (budgets != null) {
-            dividedMicros.put(team, nowMicros);
-            write(limit, budgets);
-        }
+        waitingTeams.addAll(othersOfTheirCohorts(waitingTeams));
+        // The cycle has booked since its accounts were made.
+        accounts = account();
+        budgets.divide(waitingTeams, accounts, nowMicros);
+        budgets.seedMissing(nowMicros);
     }
 
-    private void write(TeamLimit limit, Map<String, Amount> budgets) {
-        String team = limit.team();
-        String key = TeamLimitCodec.key(team);
-        TeamLimit next = limit.withBudgets(budgets);
-        book.budgetsPending(team, budgets);
-        writing.add(team);
-        boolean sent = recorder.writeInBackground(
-                txn -> txn.guard(key, limit.version()).put(key, TeamLimitCodec.value(next)),
-                (commit, unclear) -> written(next, commit.outcome(), commit.revision()));
-        if (!sent) {
-            writing.remove(team);
-            book.budgetsPending(team, Map.of());
-            toDivide.add(team);
-        }
-    }
-
-    private void written(TeamLimit limit, Outcome outcome, long version) {
-        String team = limit.team();
-        Runnable settled = () -> {
-            writing.remove(team);
-            book.budgetsPending(team, Map.of());
-            toDivide.add(team);
-            office.limitsChanged();
-        };
-        if (outcome == Outcome.OK) {
-            ledger.written(
-                    new TeamLimit(team, limit.guarantee(), limit.limit(), limit.overLimit(), limit.budgets(), version));
-            settled.run();
-        } else {
-            // Refused, or carried out by an earlier try: what stands on record tells.
-            ledger.refresh(team, settled);
+    /** A job that waits for a cohort's limit may wait for room that another team's budgets hold. */
+    private Set<String> othersOfTheirCohorts(Set<String> waitingTeams) {
+        Set<String> cohorts = new HashSet<>();
+        for (String team : waitingTeams) {
+            LimitInForce limit = ledger.limit(team);
+            if (limit != null && limit.cohort() != null) {
+                cohorts.add(limit.cohort().name());
+            }
         }
-    }
-
-    /** Teams without a record get the limit of this node's settings. */
-    private void seedMissing() {
-        List<TeamLimit> missing = new ArrayList<>();
+        Set<String> others = new HashSet<>();
         for (Settings.Team team : settings.teams()) {
-            boolean absent = ledger.limit(team.name()) == null && !ledger.isUnreadable(team.name());
-            if (absent && missing.size() < settings.state().safeTxnOps()) {
-                missing.add(LimitLedger.seed(team));
+            LimitInForce limit = cohorts.isEmpty() ? null : ledger.limit(team.name());
+            if (limit != null
+                    && limit.cohort() != null
+                    && cohorts.contains(limit.cohort().name())) {
+                others.add(team.name());
             }
         }
-        if (missing.isEmpty()) {
-            return;
-        }
-        recorder.writeInBackground(
-                txn -> missing.forEach(limit -> txn.guard(TeamLimitCodec.key(limit.team()), 0)
-                        .put(TeamLimitCodec.key(limit.team()), TeamLimitCodec.value(limit))),
-                (commit, unclear) -> {
-                    LOG.info("{} team limits put on record from settings: {}", missing.size(), commit.outcome());
-                    missing.forEach(limit -> ledger.refresh(limit.team(), () -> {}));
-                });
+        return others;
     }
 
     @Override
     public List<Booking> overLimit() {
         List<Booking> stops = new ArrayList<>();
+        Set<String> cohortsSeen = new HashSet<>();
         for (Settings.Team team : settings.teams()) {
-            TeamLimit limit = ledger.limit(team.name());
-            if (limit != null
-                    && limit.overLimit() == OverLimit.DISPLACE
-                    && !cluster.used(team.name()).fitsInto(limit.limit())) {
-                stops.addAll(OverLimitStops.choose(cluster, team.name(), limit.limit()));
+            LimitInForce limit = ledger.limit(team.name());
+            if (limit == null) {
+                continue;
+            }
+            if (limit.team().overLimit() == OverLimit.DISPLACE && isOverOwnLimit(limit)) {
+                stops.addAll(OverLimitStops.ofTeam(cluster, limit.team()));
+            }
+            CohortLimit cohort = limit.cohort();
+            if (cohort != null
+                    && cohortsSeen.add(cohort.name())
+                    && cohort.overLimit() == OverLimit.DISPLACE
+                    && !usedBy(cohort).fitsInto(cohort.limit())) {
+                stops.addAll(OverLimitStops.ofCohort(cluster, cohort, members(cohort)));
             }
         }
         return stops;
     }
 
+    private List<LimitInForce> members(CohortLimit cohort) {
+        List<LimitInForce> members = new ArrayList<>();
+        for (Settings.Team team : settings.teams()) {
+            LimitInForce limit = ledger.limit(team.name());
+            if (limit != null && limit.cohort() != null && limit.cohort().name().equals(cohort.name())) {
+                members.add(limit);
+            }
+        }
+        return members;
+    }
+
+    private Amount usedBy(CohortLimit cohort) {
+        Amount sum = Amount.ZERO;
+        for (LimitInForce member : members(cohort)) {
+            sum = sum.plus(cluster.used(member.team().team()));
+        }
+        return sum;
+    }
+
+    private boolean isOverOwnLimit(LimitInForce limit) {
+        return !cluster.used(limit.team().team()).fitsInto(limit.team().limit());
+    }
+
     @Override
     public boolean isExceeded(String team) {
-        TeamLimit limit = ledger.limit(team);
-        return limit != null && !cluster.used(team).fitsInto(limit.limit());
+        LimitInForce limit = ledger.limit(team);
+        if (limit == null) {
+            return false;
+        }
+        CohortLimit cohort = limit.cohort();
+        return isOverOwnLimit(limit) || cohort != null && !usedBy(cohort).fitsInto(cohort.limit());
     }
 
     @Override
     public String status() {
         StringBuilder text = new StringBuilder();
+        Set<String> cohortsSeen = new HashSet<>();
         for (Settings.Team team : settings.teams()) {
-            TeamLimit limit = ledger.limit(team.name());
+            LimitInForce limit = ledger.limit(team.name());
+            if (limit == null) {
+                continue;
+            }
             Amount used = cluster.used(team.name());
-            if (limit != null && !used.fitsInto(limit.limit())) {
-                text.append("team ").append(team.name()).append(" has ");
-                text.append(used.minus(limit.limit())).append(" over its limit left to ");
-                text.append(limit.overLimit().word()).append("; ");
+            if (isOverOwnLimit(limit)) {
+                addOver(
+                        text,
+                        "team " + team.name(),
+                        used.minus(limit.team().limit()),
+                        limit.team().overLimit());
+            }
+            CohortLimit cohort = limit.cohort();
+            if (cohort != null
+                    && cohortsSeen.add(cohort.name())
+                    && !usedBy(cohort).fitsInto(cohort.limit())) {
+                Amount over = usedBy(cohort).minus(cohort.limit());
+                addOver(text, "cohort " + cohort.name(), over, cohort.overLimit());
             }
         }
         return text.toString();
     }
 
+    private static void addOver(StringBuilder text, String who, Amount over, OverLimit policy) {
+        text.append(who).append(" has ").append(over).append(" over its limit left to ");
+        text.append(policy.word()).append("; ");
+    }
+
     @Override
     public void end() {
+        ended = true;
         ledger.removeListener(onLedgerChange);
     }
 }
--- a/src/main/java/org/weldcourse/admission/Snapshot.java
+++ b/src/main/java/org/weldcourse/admission/Snapshot.java
@@ -119,6 +119,14 @@
         }
     }
 
-    /** A team, and what its bookings take. */
-    public record TeamView(Settings.Team team, double usedCpus, double usedGpus) {}
+    /** A team, what its bookings take, and its cohort or null. */
+    public record TeamView(Settings.Team team, double usedCpus, double usedGpus, CohortView cohort) {
+        /** A team that belongs to no cohort. */
+        public TeamView(Settings.Team team, double usedCpus, double usedGpus) {
+            this(team, usedCpus, usedGpus, null);
+        }
+    }
+
+    /** What the teams of a cohort may use together, and what they do. */
+    public record CohortView(String name, double cpusMax, double gpusMax, double usedCpus, double usedGpus) {}
 }
--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -146,7 +146,7 @@
                     }
                 });
         this.limits = parts.recordedLimits()
-                .map(this::recordedLimits)
+                .map(recorded -> recordedLimits(recorded, epochVersion))
                 .orElseGet(() -> new SettingsLimits(cluster, parts.settings()));
         this.outlook = new SnapshotBuilder(cluster, parts.settings(), limits);
         this.reconciler =
@@ -173,7 +173,7 @@
                 });
     }
 
-    private TeamLimits recordedLimits(RecordedTeamLimits recorded) {
+    private TeamLimits recordedLimits(RecordedTeamLimits recorded, long epochVersion) {
         RecordedLimits.Office office = new RecordedLimits.Office() {
             @Override
             public void readOpenJobs() {
@@ -190,7 +190,15 @@
                 return clock.nowMicros();
             }
         };
-        return new RecordedLimits(cluster, parts.settings(), recorded.ledger(), recorded.planner(), recorder, office);
+        return new RecordedLimits(
+                cluster,
+                parts.settings(),
+                recorded.ledger(),
+                recorded.planner(),
+                recorder,
+                parts.timers(),
+                epochVersion,
+                office);
     }
 
     /** Reads the records and begins to work. */
--- a/src/main/java/org/weldcourse/app/Main.java
+++ b/src/main/java/org/weldcourse/app/Main.java
@@ -1,8 +1,8 @@
 package org.weldcourse.app;
 
 import java.nio.file.Path;
+import org.weldcourse.quota.LimitChange;
 import org.weldcourse.quota.LimitsCommand;
-import org.weldcourse.quota.LimitsEditor;
 import org.weldcourse.quota.OverLimit;
 import org.weldcourse.settings.SettingsFile;
 import org.weldcourse.settings.Tuning;
@@ -127,12 +127,15 @@
                 return 0;
             }
             case "set" -> {
-                LimitsEditor.Change change = change(last);
-                new LimitsCommand(SettingsFile.read(config))
-                        .set(last.matchedPositionalValue(0, ""), change, System.out);
+                new LimitsCommand(SettingsFile.read(config)).set(named(last), change(last), System.out);
                 return 0;
             }
-            case "limits" -> throw new SettingsFile.Invalid("limits: show or set is needed (see limits --help)");
+            case "set-cohort" -> {
+                new LimitsCommand(SettingsFile.read(config)).setCohort(named(last), change(last), System.out);
+                return 0;
+            }
+            case "limits" ->
+                throw new SettingsFile.Invalid("limits: show, set or set-cohort is needed (see limits --help)");
             case "check" -> {}
             default -> {
                 return start(config, operators);
@@ -149,41 +152,63 @@
         return last.matchedOptionValue(name, first.matchedOptionValue(name, (Path) null));
     }
 
-    private static LimitsEditor.Change change(ParseResult set) throws SettingsFile.Invalid {
+    private static String named(ParseResult call) {
+        return call.matchedPositionalValue(0, "");
+    }
+
+    private static LimitChange change(ParseResult set) throws SettingsFile.Invalid {
         String over = set.matchedOptionValue("--over", (String) null);
         if (over != null && OverLimit.ofWord(over) == null) {
             throw new SettingsFile.Invalid("over: must be drain or displace, not " + over);
         }
-        return new LimitsEditor.Change(
+        return new LimitChange(
                 set.matchedOptionValue("--cpus", (Double) null),
                 set.matchedOptionValue("--cpus-max", (Double) null),
                 set.matchedOptionValue("--gpus", (Double) null),
                 set.matchedOptionValue("--gpus-max", (Double) null),
-                over == null ? null : OverLimit.ofWord(over));
+                over == null ? null : OverLimit.ofWord(over),
+                set.hasMatchedOption("--cohort") ? set.matchedOptionValue("--cohort", (String) null) : null);
     }
 
     private static CommandSpec limits() {
         CommandSpec set = command("set", "Changes a team's limit on record; what is not named stays as it is.");
-        set.addPositional(PositionalParamSpec.builder()
-                .paramLabel("TEAM")
-                .index("0")
-                .arity("1")
+        set.addPositional(name("TEAM", "The team, as in the settings."));
+        set.addOption(amount("--cpus", "The guarantee in CPUs."));
+        set.addOption(amount("--gpus", "The guarantee in GPUs."));
+        set.addOption(OptionSpec.builder("--cohort")
+                .paramLabel("NAME")
                 .type(String.class)
-                .description("The team, as in the settings.")
+                .description("The cohort that the team borrows in, or none.")
                 .build());
-        set.addOption(amount("--cpus", "The guarantee in CPUs."));
+        addLimits(set);
+        CommandSpec setCohort = command("set-cohort", "Changes or creates a cohort: what its teams may use together.");
+        setCohort.addPositional(name("NAME", "The cohort."));
+        addLimits(setCohort);
+        CommandSpec limits = command("limits", "Shows or changes the limits on record.");
+        limits.addSubcommand("show", command("show", "Prints every limit."));
+        limits.addSubcommand("set", set);
+        limits.addSubcommand("set-cohort", setCohort);
+        return limits;
+    }
+
+    private static void addLimits(CommandSpec set) {
         set.addOption(amount("--cpus-max", "The limit in CPUs; 0 for none."));
-        set.addOption(amount("--gpus", "The guarantee in GPUs."));
         set.addOption(amount("--gpus-max", "The limit in GPUs; 0 for none."));
         set.addOption(OptionSpec.builder("--over")
                 .paramLabel("POLICY")
                 .type(String.class)
                 .description("What is over the limit: drain (runs to its end) or displace (is stopped).")
                 .build());
-        CommandSpec limits = command("limits", "Shows or changes the team limits on record.");
-        limits.addSubcommand("show", command("show", "Prints every team's limit."));
-        limits.addSubcommand("set", set);
-        return limits;
+    }
+
+    private static PositionalParamSpec name(String label, String description) {
+        return PositionalParamSpec.builder()
+                .paramLabel(label)
+                .index("0")
+                .arity("1")
+                .type(String.class)
+                .description(description)
+                .build();
     }
 
     private static OptionSpec amount(String name, String description) {
--- a/src/main/java/org/weldcourse/jobs/JobApi.java
+++ b/src/main/java/org/weldcourse/jobs/JobApi.java
@@ -13,7 +13,6 @@
 import org.weldcourse.quota.Amount;
 import org.weldcourse.quota.Reservation;
 import org.weldcourse.quota.SubmissionQuota;
-import org.weldcourse.quota.TeamLimitCodec;
 import org.weldcourse.runtime.Clock;
 import org.weldcourse.runtime.Timers;
 import org.weldcourse.settings.Settings;
@@ -120,20 +119,21 @@
         }
     }
 
-    /** A job on its way into the state service; {@code reservation} is null where nothing is reserved. */
-    private record Submission(JobSpec spec, Reservation reservation, long acceptedWallMicros) {
+    /** A job on its way into the state service; {@code grant} is null where nothing is reserved. */
+    private record Submission(JobSpec spec, SubmissionQuota.Grant grant, long acceptedWallMicros) {
         boolean reserves() {
-            return reservation != null && !reservation.isNone();
+            return grant != null && !grant.reservation().isNone();
         }
 
         Submission withoutReservation() {
-            return new Submission(spec, Reservation.none(reservation.owner()), acceptedWallMicros);
+            String owner = grant.reservation().owner();
+            return new Submission(spec, SubmissionQuota.Grant.none(owner), acceptedWallMicros);
         }
 
         Map<String, Object> jobRecord() {
             Map<String, Object> value = JobCodec.record(spec, acceptedWallMicros, false);
-            if (reservation != null) {
-                value.put(Reservation.FIELD, reservation.value());
+            if (grant != null) {
+                value.put(Reservation.FIELD, grant.reservation().value());
             }
             return value;
         }
@@ -141,13 +141,13 @@
         Transaction transaction() {
             Transaction txn = new Transaction().guard(Keys.open(spec.id()), 0).guard(Keys.done(spec.id()), 0);
             if (reserves()) {
-                txn.guard(TeamLimitCodec.key(spec.team()), reservation.limitVersion());
+                grant.guards().forEach(txn::guard);
             }
             return txn.put(Keys.open(spec.id()), jobRecord());
         }
     }
 
-    private Reservation reserve(JobSpec spec) {
+    private SubmissionQuota.Grant reserve(JobSpec spec) {
         return quota.reserve(spec.team(), perTask(spec), spec.tasksAtOnce());
     }
 
@@ -161,9 +161,10 @@
             boolean unclear = tries < MOST_TRIES;
             if (commit.outcome() == Outcome.NO && submission.reserves()) {
                 if (!unclear) {
-                    quota.giveBack(spec.team(), perTask(spec), submission.reservation());
+                    quota.giveBack(
+                            spec.team(), perTask(spec), submission.grant().reservation());
                 }
-                if (commit.failed().equals(List.of(TeamLimitCodec.key(spec.team())))) {
+                if (submission.grant().guards().keySet().containsAll(commit.failed())) {
                     // The budget was taken back. The job is accepted all the same, and waits for the leader's turn.
                     quota.refresh(spec.team(), () -> {});
                     put(submission.withoutReservation(), tries, reply);
@@ -313,8 +314,7 @@
             return "a task fits no allowed machine type";
         }
         Submission submission = new Submission(spec, quota.reserve(spec.team(), perTask(spec), 0), clock.wallMicros());
-        int bytes =
-                Json.bytes(submission.jobRecord()).length + (submission.reservation() == null ? 0 : RESERVATION_DIGITS);
+        int bytes = Json.bytes(submission.jobRecord()).length + (submission.grant() == null ? 0 : RESERVATION_DIGITS);
         return bytes <= settings.state().safeValueBytes()
                 ? null
                 : "its record of " + bytes + " bytes is larger than can be kept";
--- a/src/main/java/org/weldcourse/quota/Amount.java
+++ b/src/main/java/org/weldcourse/quota/Amount.java
@@ -71,6 +71,11 @@
         return new Amount(cpuMillionths / count, gpuMillionths / count);
     }
 
+    /** The smaller of both, for each resource. */
+    public Amount least(Amount other) {
+        return new Amount(Math.min(cpuMillionths, other.cpuMillionths), Math.min(gpuMillionths, other.gpuMillionths));
+    }
+
     /** Whether neither resource exceeds the other's. */
     public boolean fitsInto(Amount other) {
         return cpuMillionths <= other.cpuMillionths && gpuMillionths <= other.gpuMillionths;
--- a/src/main/java/org/weldcourse/quota/BudgetPlanner.java
+++ b/src/main/java/org/weldcourse/quota/BudgetPlanner.java
@@ -21,27 +21,16 @@
         this.division = division;
     }
 
-    /** {@code waits}: a job of the team waits for the limit; {@code committed}: what counts besides budgets. */
-    record Situation(
-            TeamLimit limit,
-            Amount committed,
-            boolean waits,
-            Map<String, Amount> unspent,
-            Map<String, Demand.Count> demand) {
-        Amount free() {
-            return limit.limit().minus(committed);
-        }
-
+    /** {@code free}: what limits leave besides the team's own budgets; {@code waits}: a job waits for the limit. */
+    record Situation(Amount free, boolean waits, Map<String, Amount> unspent, Map<String, Demand.Count> demand) {
         boolean lacks(BudgetDivision.Request request) {
             return !request.each().fitsInto(unspent.getOrDefault(request.owner(), Amount.ZERO));
         }
     }
 
     /** The team's new budgets by what the book shows, or null when they stay. */
-    public Map<String, Amount> plan(
-            TeamLimit limit, Amount committed, boolean waits, ReservationBook book, long nowMicros) {
-        return plan(new Situation(
-                limit, committed, waits, book.unspent(limit.team()), book.demand(limit.team(), nowMicros)));
+    public Map<String, Amount> plan(String team, Amount free, boolean waits, ReservationBook book, long nowMicros) {
+        return plan(new Situation(free, waits, book.unspent(team), book.demand(team, nowMicros)));
     }
 
     /**
@@ -61,7 +50,7 @@
             return null;
         }
         Amount most = now.free().dividedBy(ROOM_DIVISOR);
-        Map<String, Integer> granted = division.divide(least(most, now.free().minus(held)), requests);
+        Map<String, Integer> granted = division.divide(most.least(now.free().minus(held)), requests);
         if (servesOne(lacking, granted)) {
             return amounts(requests, granted);
         }
@@ -91,9 +80,4 @@
         }
         return budgets;
     }
-
-    private static Amount least(Amount a, Amount b) {
-        return new Amount(
-                Math.min(a.cpuMillionths(), b.cpuMillionths()), Math.min(a.gpuMillionths(), b.gpuMillionths()));
-    }
 }
--- a/src/main/java/org/weldcourse/quota/BudgetedSubmissions.java
+++ b/src/main/java/org/weldcourse/quota/BudgetedSubmissions.java
@@ -24,33 +24,37 @@
 
     @Override
     public Amount limit(Settings.Team team) {
-        TeamLimit limit = ledger.limit(team.name());
-        return limit == null ? LimitLedger.seed(team).limit() : limit.limit();
+        LimitInForce limit = ledger.limit(team.name());
+        if (limit == null) {
+            return LimitLedger.seed(team).limit();
+        }
+        Amount own = limit.team().limit();
+        return limit.cohort() == null ? own : own.least(limit.cohort().limit());
     }
 
     @Override
     public void refresh(String team, Runnable then) {
-        ledger.refresh(team, then);
+        ledger.refresh(team, isRead -> then.run());
     }
 
     @Override
-    public Reservation reserve(String team, Amount perTask, int tasks) {
-        TeamLimit limit = ledger.limit(team);
-        Reservation none = Reservation.none(owner);
+    public Grant reserve(String team, Amount perTask, int tasks) {
+        LimitInForce limit = ledger.limit(team);
         if (limit == null || !limit.budgets().containsKey(owner)) {
-            return none;
+            return Grant.none(owner);
         }
+        long version = limit.team().version();
         Spent spent = spentByTeam.getOrDefault(team, new Spent(0, Amount.ZERO));
-        if (limit.version() < spent.version()) {
-            return none;
+        if (version < spent.version()) {
+            return Grant.none(owner);
         }
-        Amount before = limit.version() == spent.version() ? spent.amount() : Amount.ZERO;
+        Amount before = version == spent.version() ? spent.amount() : Amount.ZERO;
         Amount wanted = perTask.times(tasks);
         if (!QuotaRule.mayAdd(limit.budget(owner), before, wanted)) {
-            return none;
+            return Grant.none(owner);
         }
-        spentByTeam.put(team, new Spent(limit.version(), before.plus(wanted)));
-        return new Reservation(owner, limit.version(), tasks);
+        spentByTeam.put(team, new Spent(version, before.plus(wanted)));
+        return new Grant(new Reservation(owner, version, tasks), limit.guards());
     }
 
     @Override
--- a/src/main/java/org/weldcourse/quota/IntegerProgramDivision.java
+++ b/src/main/java/org/weldcourse/quota/IntegerProgramDivision.java
@@ -59,9 +59,7 @@
         for (Request request : requests) {
             wanted = wanted.plus(request.each().times(request.wanted()));
         }
-        return new Amount(
-                Math.min(room.cpuMillionths(), wanted.cpuMillionths()),
-                Math.min(room.gpuMillionths(), wanted.gpuMillionths()));
+        return room.least(wanted);
     }
 
     private static Variable count(ExpressionsBasedModel model, String name, int most, double weight) {
--- /dev/null
+++ b/src/main/java/org/weldcourse/quota/LimitInForce.java
@@ -0,0 +1,40 @@
+package org.weldcourse.quota;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * A team's record with that of its cohort, as one view of the ledger shows them; {@code cohort} is null for a team that
+ * belongs to none. What is decided on them is written on the versions of both.
+ */
+public record LimitInForce(TeamLimit team, CohortLimit cohort) {
+    /** The version of the newer one: from then on nothing can be written on what stood before. */
+    public long version() {
+        return cohort == null ? team.version() : Math.max(team.version(), cohort.version());
+    }
+
+    /** The versions on which a decision has to be written, by key. */
+    public Map<String, Long> guards() {
+        Map<String, Long> guards = new LinkedHashMap<>();
+        guards.put(TeamLimitCodec.key(team.team()), team.version());
+        if (cohort != null) {
+            guards.put(TeamLimitCodec.cohortKey(cohort.name()), cohort.version());
+        }
+        return guards;
+    }
+
+    /** Budgets are void once the cohort's record has changed since they were granted. */
+    public boolean budgetsHold() {
+        return cohort == null || team.budgetsCohortVersion() == cohort.version();
+    }
+
+    /** The budget of a controller process, as far as it still holds. */
+    public Amount budget(String owner) {
+        return budgetsHold() ? team.budget(owner) : Amount.ZERO;
+    }
+
+    /** The budgets that still hold. */
+    public Map<String, Amount> budgets() {
+        return budgetsHold() ? team.budgets() : Map.of();
+    }
+}
--- a/src/main/java/org/weldcourse/quota/LimitLedger.java
+++ b/src/main/java/org/weldcourse/quota/LimitLedger.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.weldcourse.runtime.Clock;
@@ -27,12 +28,14 @@
     private final Store store;
     private final Timers timers;
     private final Settings settings;
-    private final Map<String, TeamLimit> limits = new HashMap<>();
+    private final Map<String, TeamLimit> teams = new HashMap<>();
+    private final Map<String, CohortLimit> cohorts = new HashMap<>();
     /** Versions of records that can't be used, by key. */
     private final Map<String, Long> unreadable = new HashMap<>();
 
     private final Set<String> saidToDiffer = new HashSet<>();
     private final List<Runnable> listeners = new ArrayList<>();
+    private long readRevision;
     private boolean loaded;
 
     /** A view that is filled once it is started. */
@@ -58,14 +61,49 @@
         return loaded;
     }
 
-    /** The team's record, or null where it is missing or can't be used. */
-    public TeamLimit limit(String team) {
-        return limits.get(team);
+    /** Whether all records of the ledger with a version up to this one have been read. */
+    public boolean isReadUpTo(long revision) {
+        return loaded && readRevision >= revision;
     }
 
-    /** Whether the team has a record that can't be used: nothing is reserved or admitted for it. */
-    public boolean isUnreadable(String team) {
-        return unreadable.containsKey(TeamLimitCodec.key(team));
+    /** Reads the whole ledger again, beside the watch that is under way. */
+    public void readAgain(Consumer<Boolean> then) {
+        store.list(TeamLimitCodec.PREFIX, listing -> {
+            boolean read = isRunning() && listing.outcome() == Outcome.OK;
+            if (read) {
+                accept(listing);
+            }
+            then.accept(read);
+        });
+    }
+
+    /** The team's limit, or null where it is missing or can't be used. */
+    public LimitInForce limit(String name) {
+        TeamLimit team = teams.get(name);
+        if (team == null || unreadable.containsKey(TeamLimitCodec.key(name))) {
+            return null;
+        }
+        if (team.cohort() == null) {
+            return new LimitInForce(team, null);
+        }
+        CohortLimit cohort = cohorts.get(team.cohort());
+        return cohort == null ? null : new LimitInForce(team, cohort);
+    }
+
+    /**
+     * Whether the team may belong to the cohort: a record that can't be used is taken to belong to the one that it last
+     * showed, or to any if none was seen.
+     */
+    public boolean mayBelongTo(String name, String cohort) {
+        TeamLimit team = teams.get(name);
+        return team == null ? unreadable.containsKey(TeamLimitCodec.key(name)) : cohort.equals(team.cohort());
+    }
+
+    /** Whether a record of the team or its cohort can't be used: nothing is reserved or admitted for it. */
+    public boolean isUnreadable(String name) {
+        TeamLimit team = teams.get(name);
+        return unreadable.containsKey(TeamLimitCodec.key(name))
+                || team != null && team.cohort() != null && !cohorts.containsKey(team.cohort());
     }
 
     @Override
@@ -78,20 +116,31 @@
                 wakeIn(RETRY_MICROS);
                 return;
             }
-            Set<String> present = new HashSet<>();
-            for (Store.Entry entry : listing.entries()) {
-                present.add(entry.key());
-                accept(entry);
-            }
-            limits.values().removeIf(limit -> !present.contains(TeamLimitCodec.key(limit.team())));
-            unreadable.keySet().retainAll(present);
-            loaded = true;
-            changed();
+            accept(listing);
             watch(listing.revision());
         });
         return -1;
     }
 
+    /** Records are never deleted by controllers, so what a listing lacks was deleted by an operator, or is newer. */
+    private void accept(Store.Listing listing) {
+        Set<String> present = new HashSet<>();
+        for (Store.Entry entry : listing.entries()) {
+            present.add(entry.key());
+            accept(entry);
+        }
+        long revision = listing.revision();
+        teams.values()
+                .removeIf(team -> team.version() <= revision && !present.contains(TeamLimitCodec.key(team.team())));
+        cohorts.values()
+                .removeIf(cohort ->
+                        cohort.version() <= revision && !present.contains(TeamLimitCodec.cohortKey(cohort.name())));
+        unreadable.keySet().retainAll(present);
+        readRevision = Math.max(readRevision, revision);
+        loaded = true;
+        changed();
+    }
+
     private void watch(long revision) {
         store.watch(TeamLimitCodec.PREFIX, revision, WATCH_MICROS, events -> {
             if (!isRunning()) {
@@ -101,6 +150,7 @@
                 wakeIn(0);
             } else if (events.outcome() == Outcome.OK) {
                 events.events().forEach(this::accept);
+                readRevision = Math.max(readRevision, events.revision());
                 if (!events.events().isEmpty()) {
                     changed();
                 }
@@ -111,30 +161,41 @@
         });
     }
 
-    /** Reads one team's record anew, for a decision that was refused or that must not rest on an old view. */
-    public void refresh(String team, Runnable then) {
-        String key = TeamLimitCodec.key(team);
+    /**
+     * Reads one team's record anew, for a decision that was refused or that must not rest on an old view, and tells whether
+     * it was read.
+     */
+    public void refresh(String name, Consumer<Boolean> then) {
+        read(TeamLimitCodec.key(name), isRead -> {
+            TeamLimit team = teams.get(name);
+            if (!isRead || team == null || team.cohort() == null) {
+                then.accept(isRead);
+            } else {
+                read(TeamLimitCodec.cohortKey(team.cohort()), then);
+            }
+        });
+    }
+
+    private void read(String key, Consumer<Boolean> then) {
         store.get(key, read -> {
             if (read.outcome() == Outcome.OK) {
                 accept(read.entry());
                 changed();
             }
-            then.run();
+            then.accept(read.outcome() == Outcome.OK || read.outcome() == Outcome.NO);
         });
     }
 
     /** Takes over a record that this controller wrote itself. */
     public void written(TeamLimit limit) {
-        if (isNewer(limit.team(), limit.version())) {
-            limits.put(limit.team(), limit);
+        if (isNewer(TeamLimitCodec.key(limit.team()), limit.version(), teams.get(limit.team()))) {
+            teams.put(limit.team(), limit);
             changed();
         }
     }
 
-    private boolean isNewer(String team, long version) {
-        TeamLimit known = limits.get(team);
-        return (known == null || version > known.version())
-                && version > unreadable.getOrDefault(TeamLimitCodec.key(team), -1L);
+    private boolean isNewer(String key, long version, TeamLimit known) {
+        return (known == null || version > known.version()) && version > unreadable.getOrDefault(key, -1L);
     }
 
     private void accept(Store.Event event) {
@@ -143,28 +204,74 @@
             return;
         }
         unreadable.remove(event.key());
-        limits.values().removeIf(limit -> TeamLimitCodec.key(limit.team()).equals(event.key()));
+        remove(event.key());
+    }
+
+    private void remove(String key) {
+        teams.values().removeIf(team -> TeamLimitCodec.key(team.team()).equals(key));
+        cohorts.values()
+                .removeIf(cohort -> TeamLimitCodec.cohortKey(cohort.name()).equals(key));
     }
 
     private void accept(Store.Entry entry) {
         try {
-            TeamLimit limit = TeamLimitCodec.read(entry);
-            if (isNewer(limit.team(), limit.version())) {
-                unreadable.remove(entry.key());
-                limits.put(limit.team(), limit);
-                compareWithSettings(limit);
+            if (TeamLimitCodec.isCohort(entry.key())) {
+                accept(TeamLimitCodec.readCohort(entry));
+            } else {
+                accept(TeamLimitCodec.read(entry));
             }
         } catch (TeamLimitCodec.Unreadable problem) {
-            limits.values().removeIf(limit -> TeamLimitCodec.key(limit.team()).equals(entry.key()));
+            if (entry.version() < versionOf(entry.key())) {
+                return;
+            }
+            cohorts.values()
+                    .removeIf(cohort -> TeamLimitCodec.cohortKey(cohort.name()).equals(entry.key()));
             if (!Long.valueOf(entry.version()).equals(unreadable.put(entry.key(), entry.version()))) {
-                LOG.error("{}: nothing is admitted for this team: {}", entry.key(), problem.getMessage());
+                LOG.error("{}: nothing is admitted for its teams: {}", entry.key(), problem.getMessage());
+            }
+        }
+    }
+
+    private void accept(CohortLimit cohort) {
+        String key = TeamLimitCodec.cohortKey(cohort.name());
+        CohortLimit known = cohorts.get(cohort.name());
+        boolean newer = known == null || cohort.version() > known.version();
+        if (newer && cohort.version() > unreadable.getOrDefault(key, -1L)) {
+            unreadable.remove(key);
+            cohorts.put(cohort.name(), cohort);
+        }
+    }
+
+    private void accept(TeamLimit team) {
+        String key = TeamLimitCodec.key(team.team());
+        if (isNewer(key, team.version(), teams.get(team.team()))) {
+            unreadable.remove(key);
+            teams.put(team.team(), team);
+            compareWithSettings(team);
+        }
+    }
+
+    /** The version of the record that is known under this key, or 0. */
+    private long versionOf(String key) {
+        for (TeamLimit team : teams.values()) {
+            if (TeamLimitCodec.key(team.team()).equals(key)) {
+                return team.version();
+            }
+        }
+        for (CohortLimit cohort : cohorts.values()) {
+            if (TeamLimitCodec.cohortKey(cohort.name()).equals(key)) {
+                return cohort.version();
             }
         }
+        return 0;
     }
 
     private void compareWithSettings(TeamLimit limit) {
         Settings.Team team = settings.team(limit.team());
-        if (team != null && !seed(team).hasSameTerms(limit) && saidToDiffer.add(limit.team())) {
+        boolean differs = team != null
+                && !(seed(team).limit().equals(limit.limit())
+                        && seed(team).guarantee().equals(limit.guarantee()));
+        if (differs && saidToDiffer.add(limit.team())) {
             LOG.warn(
                     "team {}: the limit on record ({}) holds, not the one of this node's settings ({})",
                     limit.team(),
@@ -184,7 +291,7 @@
                 Amount.of(team.cpus(), team.gpus()),
                 Amount.limit(team.cpusMax(), team.gpusMax()),
                 OverLimit.DRAIN,
-                Map.of(),
+                null,
                 0);
     }
 }
--- a/src/main/java/org/weldcourse/quota/LimitsCommand.java
+++ b/src/main/java/org/weldcourse/quota/LimitsCommand.java
@@ -54,7 +54,9 @@
 
     private static String line(Store.Entry entry) {
         try {
-            return line(TeamLimitCodec.read(entry));
+            return TeamLimitCodec.isCohort(entry.key())
+                    ? line(TeamLimitCodec.readCohort(entry))
+                    : line(TeamLimitCodec.read(entry));
         } catch (TeamLimitCodec.Unreadable problem) {
             return entry.key() + "  unreadable, nothing is admitted: " + problem.getMessage();
         }
@@ -68,27 +70,44 @@
                 + "  gpus " + limit.guarantee().gpus() + " to "
                 + orNone(limit.limit().gpuLimit())
                 + "  over " + limit.overLimit().word()
+                + (limit.cohort() == null ? "" : "  cohort " + limit.cohort())
                 + "  version " + limit.version()
                 + (limit.budgets().isEmpty()
                         ? ""
                         : "  budgets " + budgets + " at " + limit.budgets().size());
     }
 
+    private static String line(CohortLimit cohort) {
+        return "cohort " + cohort.name()
+                + "  cpus " + orNone(cohort.limit().cpuLimit())
+                + "  gpus " + orNone(cohort.limit().gpuLimit())
+                + "  over " + cohort.overLimit().word()
+                + "  version " + cohort.version();
+    }
+
     private static String orNone(double limit) {
         return limit == 0 ? "no limit" : String.valueOf(limit);
     }
 
     /** Changes one team's limit and prints it. */
-    public void set(String teamName, LimitsEditor.Change change, PrintStream out) throws Exception {
+    public void set(String teamName, LimitChange change, PrintStream out) throws Exception {
         Settings.Team team = settings.team(teamName);
         if (team == null) {
             throw new SettingsFile.Invalid("team: " + teamName + " is not in the settings");
         }
-        LimitsEditor.Result result = await((store, done) -> new LimitsEditor(store).set(team, change, done));
+        print(await((store, done) -> new LimitsEditor(store).set(team, change, done)), out);
+    }
+
+    /** Changes or creates a cohort and prints it. */
+    public void setCohort(String name, LimitChange change, PrintStream out) throws Exception {
+        print(await((store, done) -> new LimitsEditor(store).setCohort(name, change, done)), out);
+    }
+
+    private static void print(LimitsEditor.Result result, PrintStream out) throws Failed {
         if (!result.isChanged()) {
             throw new Failed(result.problem());
         }
-        out.println(line(result.limit()));
+        out.println(result.team() == null ? line(result.cohort()) : line(result.team()));
     }
 
     private <T> T await(BiConsumer<Store, Consumer<T>> work) throws Exception {
--- a/src/main/java/org/weldcourse/quota/LimitsEditor.java
+++ b/src/main/java/org/weldcourse/quota/LimitsEditor.java
@@ -1,6 +1,8 @@
 package org.weldcourse.quota;
 
+import java.util.HashMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.function.Consumer;
 import org.weldcourse.settings.Settings;
 import org.weldcourse.store.Store;
@@ -8,8 +10,9 @@
 import org.weldcourse.store.Transaction;
 
 /**
- * Changes a team's limit on record, for operators. The new limit holds from the one conditional write on: it takes back all
- * budgets, so that whatever a controller still decides on the old record is refused.
+ * Changes limits on record, for operators. A new limit holds from its one conditional write on: the write makes all budgets
+ * that rested on the old record void, so that whatever a controller still decides on it is refused. A change of a team in a
+ * cohort writes the cohort's record as well, so that two changes which are sound alone but not together can't both succeed.
  */
 public final class LimitsEditor {
     /** Budgets change while a limit is set; that alone is no reason to give up. */
@@ -22,134 +25,236 @@
         this.store = store;
     }
 
-    /** What to change; null fields stay as they are. Limits of 0 mean none. */
-    public record Change(Double cpus, Double cpusMax, Double gpus, Double gpusMax, OverLimit overLimit) {
-        TeamLimit applyTo(TeamLimit limit) {
-            Amount guarantee = Amount.of(
-                    or(cpus, limit.guarantee().cpus()),
-                    or(gpus, limit.guarantee().gpus()));
-            Amount most = Amount.limit(
-                    or(cpusMax, limit.limit().cpuLimit()),
-                    or(gpusMax, limit.limit().gpuLimit()));
-            return new TeamLimit(
-                    limit.team(),
-                    guarantee,
-                    most,
-                    overLimit == null ? limit.overLimit() : overLimit,
-                    Map.of(),
-                    limit.version());
-        }
-
-        private static double or(Double number, double otherwise) {
-            return number == null ? otherwise : number;
+    /** How a change ended: what is on record now (of a cohort or a team), or why nothing was changed. */
+    public record Result(TeamLimit team, CohortLimit cohort, String problem) {
+        static Result failed(String problem) {
+            return new Result(null, null, problem);
         }
-    }
 
-    /** How a change ended: the limit that is on record now, or why nothing was changed. */
-    public record Result(TeamLimit limit, String problem) {
+        /** Whether the change is on record. */
         public boolean isChanged() {
             return problem == null;
         }
     }
 
     /** Changes one team's limit, or says why not. */
-    public void set(Settings.Team team, Change change, Consumer<Result> then) {
-        String wrong = wrongNumber(change);
-        if (wrong != null) {
-            then.accept(new Result(null, wrong));
-            return;
+    public void set(Settings.Team team, LimitChange change, Consumer<Result> then) {
+        String wrong = change.wrongNumber();
+        if (wrong == null) {
+            new Attempt(new TeamEdit(team, change), then).read(MOST_TRIES);
+        } else {
+            then.accept(Result.failed(wrong));
         }
-        new Attempt(team, change, then).read(MOST_TRIES);
     }
 
-    private static String wrongNumber(Change change) {
-        return firstNonNull(
-                wrong("cpus", change.cpus()),
-                wrong("cpus-max", change.cpusMax()),
-                wrong("gpus", change.gpus()),
-                wrong("gpus-max", change.gpusMax()));
+    /** Changes a cohort's limit, or creates the cohort. */
+    public void setCohort(String name, LimitChange change, Consumer<Result> then) {
+        String wrong = change.wrongNumber();
+        if (wrong == null) {
+            new Attempt(new CohortEdit(name, change), then).read(MOST_TRIES);
+        } else {
+            then.accept(Result.failed(wrong));
+        }
     }
 
-    private static String wrong(String field, Double number) {
-        boolean fine = number == null || number >= 0 && number <= 1e9;
-        return fine ? null : field + ": must be a number from 0 to 1000000000, not " + number;
+    /** The ledger as one listing shows it. */
+    private record Records(Map<String, TeamLimit> teams, Map<String, CohortLimit> cohorts) {
+        static Records read(Store.Listing listing) throws TeamLimitCodec.Unreadable {
+            Records records = new Records(new HashMap<>(), new HashMap<>());
+            for (Store.Entry entry : listing.entries()) {
+                try {
+                    if (TeamLimitCodec.isCohort(entry.key())) {
+                        CohortLimit cohort = TeamLimitCodec.readCohort(entry);
+                        records.cohorts.put(cohort.name(), cohort);
+                    } else {
+                        TeamLimit team = TeamLimitCodec.read(entry);
+                        records.teams.put(team.team(), team);
+                    }
+                } catch (TeamLimitCodec.Unreadable unreadable) {
+                    throw new TeamLimitCodec.Unreadable(entry.key() + ": " + unreadable.getMessage());
+                }
+            }
+            return records;
+        }
+
+        /** What is wrong with a cohort in which this team's record is as given, or null. */
+        String cohortProblem(CohortLimit cohort, TeamLimit changed) {
+            Amount guarantees = Amount.ZERO;
+            Map<String, TeamLimit> members = new HashMap<>(teams);
+            if (changed != null) {
+                members.put(changed.team(), changed);
+            }
+            for (TeamLimit member : members.values()) {
+                if (cohort.name().equals(member.cohort())) {
+                    guarantees = guarantees.plus(member.guarantee());
+                }
+            }
+            return guarantees.fitsInto(cohort.limit())
+                    ? null
+                    : "cohort: " + cohort.name() + " with a limit of " + cohort.limit() + " can't cover guarantees of "
+                            + guarantees;
+        }
     }
 
-    private static String firstNonNull(String... texts) {
-        for (String text : texts) {
-            if (text != null) {
-                return text;
+    /** What is to be written in place of what stands, and the terms by which another's change is noticed. */
+    private interface Edit {
+        /** The terms of the record on which the edit rests; they differ once somebody else changed it. */
+        Object terms(Records records);
+
+        /** The terms that the edit would leave. */
+        Object termsAfter(Records records);
+
+        /** Why the edit can't be made, or null. */
+        String problem(Records records);
+
+        /** The one write that makes the edit. */
+        Transaction transaction(Records records);
+
+        /** What stands on record once it was carried out under this version. */
+        Result result(Records records, long version);
+    }
+
+    private record TeamEdit(Settings.Team settings, LimitChange change) implements Edit {
+        private TeamLimit before(Records records) {
+            return records.teams.getOrDefault(settings.name(), LimitLedger.seed(settings));
+        }
+
+        private TeamLimit after(Records records) {
+            return change.applyTo(before(records));
+        }
+
+        @Override
+        public Object terms(Records records) {
+            return before(records).withBudgets(Map.of(), 0).withVersion(0);
+        }
+
+        @Override
+        public Object termsAfter(Records records) {
+            return after(records).withVersion(0);
+        }
+
+        @Override
+        public String problem(Records records) {
+            TeamLimit after = after(records);
+            if (after.guarantee().cpuMillionths() > after.limit().cpuMillionths()) {
+                return "cpus: the guarantee of " + after.guarantee().cpus() + " is over the limit of "
+                        + after.limit().cpus();
+            }
+            if (after.guarantee().gpuMillionths() > after.limit().gpuMillionths()) {
+                return "gpus: the guarantee of " + after.guarantee().gpus() + " is over the limit of "
+                        + after.limit().gpus();
             }
+            if (after.cohort() == null) {
+                return null;
+            }
+            CohortLimit cohort = records.cohorts.get(after.cohort());
+            return cohort == null
+                    ? "cohort: " + after.cohort() + " is not on record"
+                    : records.cohortProblem(cohort, after);
+        }
+
+        @Override
+        public Transaction transaction(Records records) {
+            TeamLimit after = after(records);
+            String key = TeamLimitCodec.key(after.team());
+            Transaction txn = new Transaction().guard(key, after.version()).put(key, TeamLimitCodec.value(after));
+            if (after.cohort() != null) {
+                CohortLimit cohort = records.cohorts.get(after.cohort());
+                String cohortKey = TeamLimitCodec.cohortKey(cohort.name());
+                txn.guard(cohortKey, cohort.version()).put(cohortKey, TeamLimitCodec.value(cohort));
+            }
+            return txn;
+        }
+
+        @Override
+        public Result result(Records records, long version) {
+            return new Result(after(records).withVersion(version), null, null);
         }
-        return null;
     }
 
-    private static String guaranteeProblem(TeamLimit limit) {
-        if (limit.guarantee().cpuMillionths() > limit.limit().cpuMillionths()) {
-            return "cpus: the guarantee of " + limit.guarantee().cpus() + " is over the limit of "
-                    + limit.limit().cpus();
+    private record CohortEdit(String name, LimitChange change) implements Edit {
+        private CohortLimit before(Records records) {
+            return records.cohorts.getOrDefault(name, new CohortLimit(name, Amount.limit(0, 0), OverLimit.DRAIN, 0));
+        }
+
+        private CohortLimit after(Records records) {
+            return change.applyTo(before(records));
+        }
+
+        @Override
+        public Object terms(Records records) {
+            return before(records).withVersion(0);
+        }
+
+        @Override
+        public Object termsAfter(Records records) {
+            return after(records).withVersion(0);
         }
-        if (limit.guarantee().gpuMillionths() > limit.limit().gpuMillionths()) {
-            return "gpus: the guarantee of " + limit.guarantee().gpus() + " is over the limit of "
-                    + limit.limit().gpus();
+
+        @Override
+        public String problem(Records records) {
+            return records.cohortProblem(after(records), null);
+        }
+
+        @Override
+        public Transaction transaction(Records records) {
+            CohortLimit after = after(records);
+            String key = TeamLimitCodec.cohortKey(name);
+            return new Transaction().guard(key, after.version()).put(key, TeamLimitCodec.value(after));
+        }
+
+        @Override
+        public Result result(Records records, long version) {
+            return new Result(null, after(records).withVersion(version), null);
         }
-        return null;
     }
 
+    /** One edit, tried until it is certain what became of it. */
     private final class Attempt {
-        private final Settings.Team team;
-        private final String key;
-        private final Change change;
+        private final Edit edit;
         private final Consumer<Result> then;
-        /** What stood on record when the change began. */
-        private TeamLimit first;
+        /** The terms that stood on record when the edit began, and those that it would leave. */
+        private Object first;
 
+        private Object wanted;
         private boolean unclear;
 
-        Attempt(Settings.Team team, Change change, Consumer<Result> then) {
-            this.team = team;
-            this.key = TeamLimitCodec.key(team.name());
-            this.change = change;
+        Attempt(Edit edit, Consumer<Result> then) {
+            this.edit = edit;
             this.then = then;
         }
 
         void read(int triesLeft) {
-            store.get(key, read -> {
-                if (read.outcome() == Outcome.NO) {
-                    write(LimitLedger.seed(team), triesLeft);
-                } else if (read.outcome() == Outcome.OK) {
-                    write(read.entry(), triesLeft);
-                } else {
+            store.list(TeamLimitCodec.PREFIX, listing -> {
+                if (listing.outcome() != Outcome.OK) {
                     fail("the state service does not answer" + (unclear ? "; see whether it was changed" : ""));
+                    return;
+                }
+                try {
+                    write(Records.read(listing), triesLeft);
+                } catch (TeamLimitCodec.Unreadable unreadable) {
+                    fail(unreadable.getMessage());
                 }
             });
         }
 
-        private void write(Store.Entry entry, int triesLeft) {
-            try {
-                write(TeamLimitCodec.read(entry), triesLeft);
-            } catch (TeamLimitCodec.Unreadable unreadable) {
-                fail(key + ": " + unreadable.getMessage());
-            }
-        }
-
-        private void write(TeamLimit limit, int triesLeft) {
+        private void write(Records records, int triesLeft) {
+            Object terms = edit.terms(records);
             if (first == null) {
-                first = limit;
-            } else if (!first.hasSameTerms(limit)) {
-                settleChanged(limit);
+                first = terms;
+                wanted = edit.termsAfter(records);
+            } else if (!first.equals(terms)) {
+                settleChanged(records, terms);
                 return;
             }
-            TeamLimit next = change.applyTo(limit);
-            String problem = guaranteeProblem(next);
+            String problem = edit.problem(records);
             if (problem != null) {
                 fail(problem);
                 return;
             }
-            Transaction txn = new Transaction().guard(key, limit.version()).put(key, TeamLimitCodec.value(next));
-            store.commit(txn, commit -> {
+            store.commit(edit.transaction(records), commit -> {
                 if (commit.outcome() == Outcome.OK) {
-                    succeed(next, commit.revision());
+                    then.accept(edit.result(records, commit.revision()));
                 } else if (commit.outcome() == Outcome.BAD || triesLeft == 0) {
                     fail("the state service refuses the change");
                 } else {
@@ -159,29 +264,17 @@
             });
         }
 
-        /** Either an earlier try of this change was carried out, or somebody else changed the record. */
-        private void settleChanged(TeamLimit limit) {
-            if (unclear && change.applyTo(first).hasSameTerms(limit)) {
-                succeed(limit, limit.version());
+        /** Either an earlier try of this edit was carried out, or somebody else changed the record. */
+        private void settleChanged(Records records, Object terms) {
+            if (unclear && Objects.equals(wanted, terms)) {
+                then.accept(edit.result(records, 0));
             } else {
-                fail("the record was changed meanwhile, to a limit of " + limit.limit());
+                fail("the record was changed meanwhile: " + terms);
             }
         }
 
-        private void succeed(TeamLimit limit, long version) {
-            then.accept(new Result(
-                    new TeamLimit(
-                            limit.team(),
-                            limit.guarantee(),
-                            limit.limit(),
-                            limit.overLimit(),
-                            limit.budgets(),
-                            version),
-                    null));
-        }
-
         private void fail(String problem) {
-            then.accept(new Result(null, problem));
+            then.accept(Result.failed(problem));
         }
     }
 }
--- a/src/main/java/org/weldcourse/quota/ReservationBook.java
+++ b/src/main/java/org/weldcourse/quota/ReservationBook.java
@@ -29,32 +29,24 @@
         /** By version of the limit: what each process is known to have reserved under it. */
         final TreeMap<Long, Map<String, Amount>> spent = new TreeMap<>();
 
-        TeamLimit limit;
+        LimitInForce limit;
         /** Budgets in a write whose fate is not known yet. */
         Map<String, Amount> pending = Map.of();
     }
 
-    /**
-     * What counts against a team's limit, how many tasks of which jobs may be admitted out of their reservations, and
-     * whether all reservations fit.
-     */
-    public record Account(Amount committed, Amount budgets, Map<String, Integer> coveredTasks, boolean honoursAll) {
-        /** All that counts: what jobs hold and what controllers may still reserve. */
-        public Amount counted() {
-            return committed.plus(budgets);
-        }
-    }
+    /** How many tasks of which jobs may be admitted out of their reservations, and whether all reservations fit. */
+    public record Account(Map<String, Integer> coveredTasks, boolean honoursAll) {}
 
     private Team team(String name) {
         return teams.computeIfAbsent(name, unknown -> new Team());
     }
 
-    /** The team's record as the ledger shows it now. */
-    public void limitSeen(TeamLimit limit) {
-        Team team = team(limit.team());
+    /** The team's limit as the ledger shows it now. */
+    public void limitSeen(LimitInForce limit) {
+        Team team = team(limit.team().team());
         if (team.limit == null || limit.version() > team.limit.version()) {
             team.limit = limit;
-            team.spent.headMap(limit.version()).clear();
+            team.spent.headMap(limit.team().version()).clear();
         }
     }
 
@@ -80,7 +72,8 @@
 
     private static void countSpent(Team team, Held held) {
         Reservation reservation = held.reservation;
-        if (team.limit == null || reservation.limitVersion() >= team.limit.version()) {
+        if (team.limit == null
+                || reservation.limitVersion() >= team.limit.team().version()) {
             team.spent
                     .computeIfAbsent(reservation.limitVersion(), version -> new HashMap<>())
                     .merge(reservation.owner(), held.perTask.times(reservation.tasks()), Amount::plus);
@@ -114,12 +107,19 @@
         team(teamName).pending = budgets;
     }
 
+    /** What may still be reserved for the team, and what may be soon by a write on its way. */
+    public Amount budgets(String teamName) {
+        return QuotaRule.sum(unspent(teamName).values())
+                .plus(QuotaRule.sum(team(teamName).pending.values()));
+    }
+
     /** What each process may still reserve under the current version. */
     public Map<String, Amount> unspent(String teamName) {
         Team team = team(teamName);
         Map<String, Amount> unspent = new TreeMap<>();
         if (team.limit != null) {
-            Map<String, Amount> spent = team.spent.getOrDefault(team.limit.version(), Map.of());
+            Map<String, Amount> spent =
+                    team.spent.getOrDefault(team.limit.team().version(), Map.of());
             team.limit
                     .budgets()
                     .forEach((owner, budget) ->
@@ -134,13 +134,12 @@
     }
 
     /**
-     * Counts what the team's limit has to cover. Reservations are honoured one after the other while they fit: after the
+     * Takes what is reserved for the team out of the room of its limit and its cohort's (or null). Reservations are honoured one after the other while they fit: after the
      * limit was lowered some don't, and their jobs wait like any that has none. {@code unusedTasks} tells how many tasks
      * of a job are reserved, wait, and are not booked.
      */
-    public Account account(String teamName, Amount limit, Amount booked, ToIntFunction<String> unusedTasks) {
+    public Account account(String teamName, LimitRoom limit, LimitRoom cohort, ToIntFunction<String> unusedTasks) {
         Team team = team(teamName);
-        Amount counted = booked;
         Map<String, Integer> covered = new HashMap<>();
         boolean honoursAll = true;
         var ordinals = team.reserved.getIntIterator();
@@ -148,15 +147,17 @@
             Held held = heldByOrdinal.get(ordinals.next());
             int unused = unusedTasks.applyAsInt(held.job);
             Amount amount = held.perTask.times(unused);
-            if (!QuotaRule.mayAdd(limit, counted, amount)) {
+            if (!limit.hasRoomFor(amount) || cohort != null && !cohort.hasRoomFor(amount)) {
                 honoursAll = false;
             } else if (unused > 0) {
-                counted = counted.plus(amount);
+                limit.take(amount);
+                if (cohort != null) {
+                    cohort.take(amount);
+                }
                 covered.put(held.job, unused);
             }
         }
-        Amount budgets = QuotaRule.sum(unspent(teamName).values()).plus(QuotaRule.sum(team.pending.values()));
-        return new Account(counted, budgets, covered, honoursAll);
+        return new Account(covered, honoursAll);
     }
 
     /** Whether the job's reservation has been read. */
--- a/src/main/java/org/weldcourse/quota/SubmissionQuota.java
+++ b/src/main/java/org/weldcourse/quota/SubmissionQuota.java
@@ -1,5 +1,6 @@
 package org.weldcourse.quota;
 
+import java.util.Map;
 import org.weldcourse.settings.Settings;
 
 /** What accepting a job has to do with team limits: which limit holds, and a reservation out of this node's budget. */
@@ -10,8 +11,16 @@
     /** Reads the team's limit anew and goes on then. */
     void refresh(String team, Runnable then);
 
-    /** The reservation to write with a job of so many tasks at the same time, or null where nothing is to be said. */
-    Reservation reserve(String team, Amount perTask, int tasks);
+    /** A reservation to write with a job, and the versions of the ledger's records on which it has to be written. */
+    record Grant(Reservation reservation, Map<String, Long> guards) {
+        /** A job that is accepted without a reservation. */
+        public static Grant none(String owner) {
+            return new Grant(Reservation.none(owner), Map.of());
+        }
+    }
+
+    /** What to write with a job of so many tasks at the same time, or null where nothing is to be said. */
+    Grant reserve(String team, Amount perTask, int tasks);
 
     /** The write of this reservation was refused for certain, so that its budget can be used again. */
     void giveBack(String team, Amount perTask, Reservation reservation);
@@ -29,7 +38,7 @@
         }
 
         @Override
-        public Reservation reserve(String team, Amount perTask, int tasks) {
+        public Grant reserve(String team, Amount perTask, int tasks) {
             return null;
         }
 
--- a/src/main/java/org/weldcourse/quota/TeamLimitCodec.java
+++ b/src/main/java/org/weldcourse/quota/TeamLimitCodec.java
@@ -12,6 +12,9 @@
     /** Keys of the ledger begin with this. */
     public static final String PREFIX = "quota/";
 
+    private static final String TEAMS = PREFIX + "team/";
+    private static final String COHORTS = PREFIX + "cohort/";
+
     static final int FORMAT = 1;
     private static final int MOST_PLAIN_NAME = 150;
     /** Plain names never contain this, so that no two teams share a key. */
@@ -26,14 +29,70 @@
         }
     }
 
-    /** The key of a team's record; names that a key can't hold are encoded. */
+    /** The key of a team's record. */
     public static String key(String team) {
-        boolean plain = team.length() <= MOST_PLAIN_NAME && team.matches("[A-Za-z0-9._-]+");
-        return plain
-                ? PREFIX + team
-                : PREFIX
-                        + ENCODED
-                        + Base64.getUrlEncoder().withoutPadding().encodeToString(team.getBytes(StandardCharsets.UTF_8));
+        return TEAMS + keyPart(team);
+    }
+
+    /** The key of a cohort's record. */
+    public static String cohortKey(String cohort) {
+        return COHORTS + keyPart(cohort);
+    }
+
+    /** Whether the key is that of a cohort's record. */
+    public static boolean isCohort(String key) {
+        return key.startsWith(COHORTS);
+    }
+
+    /** Names that a key can't hold are encoded. */
+    private static String keyPart(String name) {
+        if (name.length() <= MOST_PLAIN_NAME && name.matches("[A-Za-z0-9._-]+")) {
+            return name;
+        }
+        byte[] bytes = name.getBytes(StandardCharsets.UTF_8);
+        return ENCODED + Base64.getUrlEncoder().withoutPadding().encodeToString(bytes);
+    }
+
+    /** The value of a cohort's record. */
+    public static Map<String, Object> value(CohortLimit cohort) {
+        return Json.of(
+                "format",
+                FORMAT,
+                "cohort",
+                cohort.name(),
+                "cpus_max",
+                cohort.limit().cpuLimit(),
+                "gpus_max",
+                cohort.limit().gpuLimit(),
+                "over",
+                cohort.overLimit().word());
+    }
+
+    /** Reads a cohort's record. */
+    public static CohortLimit readCohort(Store.Entry entry) throws Unreadable {
+        Map<String, Object> value = entry.value();
+        checkFormat(value);
+        String name = Json.text(value, "cohort");
+        if (name == null || !cohortKey(name).equals(entry.key())) {
+            throw new Unreadable("field cohort does not belong to its key");
+        }
+        Amount limit = Amount.limit(number(value, "cpus_max"), number(value, "gpus_max"));
+        return new CohortLimit(name, limit, overLimit(value), entry.version());
+    }
+
+    private static void checkFormat(Map<String, Object> value) throws Unreadable {
+        long format = Json.integer(value, "format", 0);
+        if (format != FORMAT) {
+            throw new Unreadable("its format is " + format + ", and this version knows format " + FORMAT);
+        }
+    }
+
+    private static OverLimit overLimit(Map<String, Object> value) throws Unreadable {
+        OverLimit overLimit = OverLimit.ofWord(Json.text(value, "over"));
+        if (overLimit == null) {
+            throw new Unreadable("field over is missing or unknown");
+        }
+        return overLimit;
     }
 
     /** The value of a team's record. */
@@ -56,24 +115,24 @@
                 limit.limit().gpuLimit(),
                 "over",
                 limit.overLimit().word(),
+                "cohort",
+                limit.cohort(),
                 "budgets",
-                budgets);
+                budgets,
+                "budgets_under",
+                limit.budgetsCohortVersion());
     }
 
     /** Reads a team's record; what is not understood in full is refused, since it must not count as room. */
     public static TeamLimit read(Store.Entry entry) throws Unreadable {
         Map<String, Object> value = entry.value();
-        long format = Json.integer(value, "format", 0);
-        if (format != FORMAT) {
-            throw new Unreadable("its format is " + format + ", and this version knows format " + FORMAT);
-        }
+        checkFormat(value);
         String team = Json.text(value, "team");
         if (team == null || !key(team).equals(entry.key())) {
             throw new Unreadable("field team does not belong to its key");
         }
-        OverLimit overLimit = OverLimit.ofWord(Json.text(value, "over"));
-        if (overLimit == null) {
-            throw new Unreadable("field over is missing or unknown");
+        if (value.get("cohort") != null && Json.text(value, "cohort") == null) {
+            throw new Unreadable("field cohort is no name");
         }
         Amount limit = Amount.limit(number(value, "cpus_max"), number(value, "gpus_max"));
         Map<String, Amount> budgets = budgets(value);
@@ -81,7 +140,15 @@
             throw new Unreadable("its budgets exceed its limit");
         }
         Amount guarantee = Amount.of(number(value, "cpus"), number(value, "gpus"));
-        return new TeamLimit(team, guarantee, limit, overLimit, budgets, entry.version());
+        return new TeamLimit(
+                team,
+                guarantee,
+                limit,
+                overLimit(value),
+                Json.text(value, "cohort"),
+                budgets,
+                Json.integer(value, "budgets_under", 0),
+                entry.version());
     }
 
     private static Map<String, Amount> budgets(Map<String, Object> value) throws Unreadable {
--- /dev/null
+++ b/src/test/java/org/weldcourse/quota/BudgetDivisionTest.java
@@ -0,0 +1,66 @@
+package org.weldcourse.quota;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.weldcourse.quota.BudgetDivision.Request;
+
+/** Tests of {@link BudgetDivision} and of its whole-number program. */
+class BudgetDivisionTest {
+    private final BudgetDivision solver = new IntegerProgramDivision();
+
+    private static Request request(String owner, double cpus, double gpus, int wanted) {
+        return new Request(owner, Amount.of(cpus, gpus), wanted);
+    }
+
+    @Test
+    void everyoneIsServedOnceBeforeAnyoneIsTwice() {
+        List<Request> requests = List.of(request("n0", 1, 0, 50), request("n1", 4, 0, 1), request("n2", 1, 1, 2));
+        for (BudgetDivision division : List.of(solver, (BudgetDivision) BudgetDivision::inTurns)) {
+            Map<String, Integer> granted = division.divide(Amount.of(8, 1), requests);
+            assertEquals(Map.of("n0", 3, "n1", 1, "n2", 1), granted);
+        }
+    }
+
+    @Test
+    void theSolverServesTwoWhereTurnsServeOne() {
+        List<Request> requests = List.of(request("n0", 5, 0, 1), request("n1", 3, 0, 1), request("n2", 3, 0, 1));
+        assertEquals(Map.of("n0", 1), BudgetDivision.inTurns(Amount.of(6, 0), requests));
+        Map<String, Integer> granted = solver.divide(Amount.of(6, 0), requests);
+        assertEquals(2, granted.values().stream().mapToInt(Integer::intValue).sum());
+    }
+
+    @Test
+    void noDivisionExceedsTheRoomOrTheDemand() {
+        Random random = new Random(5);
+        for (int round = 0; round < 100; round++) {
+            List<Request> requests = new ArrayList<>();
+            for (int i = 0; i < 1 + random.nextInt(7); i++) {
+                requests.add(request("n" + i, 0.1 + random.nextInt(80) / 10.0, random.nextInt(3), random.nextInt(9)));
+            }
+            Amount room = Amount.of(random.nextInt(40), random.nextInt(8));
+            for (BudgetDivision division : List.of(solver, (BudgetDivision) BudgetDivision::inTurns)) {
+                Map<String, Integer> granted = division.divide(room, requests);
+                Amount taken = Amount.ZERO;
+                for (Request request : requests) {
+                    int count = granted.getOrDefault(request.owner(), 0);
+                    assertTrue(count >= 0 && count <= request.wanted());
+                    taken = taken.plus(request.each().times(count));
+                }
+                assertTrue(taken.fitsInto(room), taken + " of " + room);
+            }
+        }
+    }
+
+    @Test
+    void amountsSaturateInsteadOfOverflowing() {
+        Amount huge = Amount.of(1e300, 0).times(100_000).plus(Amount.of(1e300, 0));
+        assertTrue(huge.cpuMillionths() > 0);
+        assertTrue(!huge.fitsInto(Amount.of(1e9, 0)));
+    }
+}
--- a/src/test/java/org/weldcourse/quota/QuotaHistory.java
+++ b/src/test/java/org/weldcourse/quota/QuotaHistory.java
@@ -9,6 +9,7 @@
 import org.weldcourse.jobs.SliceCodec;
 import org.weldcourse.simulation.FakeState.Written;
 import org.weldcourse.simulation.SimulatedCluster;
+import org.weldcourse.store.Store;
 
 /**
  * Checks the history of writes and of tasks on workers against the teams' limits, from outside the controllers. Each write
@@ -18,6 +19,8 @@
 final class QuotaHistory {
     private final SimulatedCluster world;
     private final Map<String, Limit> limits = new HashMap<>();
+    private final Map<String, TreeMap<Long, Amount>> cohorts = new HashMap<>();
+    private final Map<String, Long> cohortVersions = new HashMap<>();
     private final Map<String, OpenJob> openJobs = new HashMap<>();
     /** The job of each task on record, also of those whose job has ended since. */
     private final Map<String, OpenJob> everyJob = new HashMap<>();
@@ -41,13 +44,7 @@
     }
 
     private record OpenJob(
-            String id,
-            String team,
-            Amount perTask,
-            int tasks,
-            boolean gang,
-            boolean cancelled,
-            Reservation reservation) {}
+            String id, String team, Amount perTask, int tasks, boolean cancelled, Reservation reservation) {}
 
     QuotaHistory(SimulatedCluster world) {
         this.world = world;
@@ -88,13 +85,21 @@
     }
 
     private void limitWritten(Written change) {
-        TeamLimit record;
+        Store.Entry entry = new Store.Entry(change.key(), change.value(), change.version(), 0);
         try {
-            record = TeamLimitCodec.read(
-                    new org.weldcourse.store.Store.Entry(change.key(), change.value(), change.version(), 0));
+            if (TeamLimitCodec.isCohort(change.key())) {
+                CohortLimit cohort = TeamLimitCodec.readCohort(entry);
+                cohorts.computeIfAbsent(cohort.name(), name -> new TreeMap<>()).put(change.version(), cohort.limit());
+                cohortVersions.put(cohort.name(), change.version());
+            } else {
+                teamWritten(change, TeamLimitCodec.read(entry));
+            }
         } catch (TeamLimitCodec.Unreadable unreadable) {
             throw new AssertionError("a record that nobody can read: " + change, unreadable);
         }
+    }
+
+    private void teamWritten(Written change, TeamLimit record) {
         Limit limit = limits.computeIfAbsent(record.team(), team -> new Limit());
         limit.record = record;
         limit.spent.clear();
@@ -118,7 +123,6 @@
                 Json.text(value, "crew"),
                 Amount.of(Json.decimal(value, "cpus", 0), Json.decimal(value, "gpus", 0)),
                 (int) Json.integer(value, "beads", 0),
-                "ensemble".equals(value.get("shape")),
                 Json.flag(value, "cancelled"),
                 Reservation.of(value));
         openJobs.put(id, job);
@@ -129,6 +133,8 @@
             Amount amount = job.perTask.times(job.reservation.tasks());
             Amount spent = limit.spent.merge(job.reservation.owner(), amount, Amount::plus);
             if (job.reservation.limitVersion() != limit.record.version()
+                    || limit.record.cohort() != null
+                            && limit.record.budgetsCohortVersion() != cohortVersions.get(limit.record.cohort())
                     || !spent.fitsInto(limit.record.budget(job.reservation.owner()))) {
                 throw new AssertionError("reserved beyond the budget: " + id + " " + job.reservation + ", spent "
                         + spent + " of " + limit.record);
@@ -153,6 +159,44 @@
     }
 
     private void check(String team, String what) {
+        Limit limit = limits.get(team);
+        requireWithin(limit.inForce(), counted(team), team, what);
+        String cohort = limit.record.cohort();
+        if (cohort != null) {
+            Amount sum = Amount.ZERO;
+            for (Limit member : limits.values()) {
+                if (cohort.equals(member.record.cohort())) {
+                    sum = sum.plus(counted(member.record.team()));
+                }
+            }
+            requireWithin(cohorts.get(cohort).lastEntry().getValue(), sum, "cohort " + cohort, what);
+        }
+    }
+
+    private void requireWithin(Amount limit, Amount counted, String who, String what) {
+        if (!QuotaRule.mayAdd(limit, counted, Amount.ZERO)) {
+            throw new AssertionError("overshoot: " + who + " has " + counted + " of " + limit + " when " + what + ": "
+                    + limits.keySet().stream().map(this::counting).toList());
+        }
+    }
+
+    /** What counts, for the report of a failure. */
+    private String counting(String team) {
+        StringBuilder text = new StringBuilder(team).append(": ");
+        for (OpenJob job : openJobs.values()) {
+            if (job.team.equals(team) && reserved(job) + running(job) > 0) {
+                text.append(job).append(" reserved ").append(reserved(job));
+                text.append(" running ").append(running(job)).append("; ");
+            }
+        }
+        return text.append(limits.get(team).record)
+                .append(" spent ")
+                .append(limits.get(team).spent)
+                .toString();
+    }
+
+    /** What a team's jobs hold and its budgets may still reserve. */
+    private Amount counted(String team) {
         Limit limit = limits.get(team);
         Amount counted = Amount.ZERO;
         for (OpenJob job : openJobs.values()) {
@@ -160,13 +204,14 @@
                 counted = counted.plus(QuotaRule.ofJob(job.perTask, reserved(job), running(job)));
             }
         }
-        for (Map.Entry<String, Amount> budget : limit.record.budgets().entrySet()) {
-            counted = counted.plus(budget.getValue().minus(limit.spent.getOrDefault(budget.getKey(), Amount.ZERO)));
-        }
-        if (!QuotaRule.mayAdd(limit.inForce(), counted, Amount.ZERO)) {
-            throw new AssertionError(
-                    "overshoot: " + team + " has " + counted + " of " + limit.inForce() + " when " + what);
+        boolean budgetsHold = limit.record.cohort() == null
+                || limit.record.budgetsCohortVersion() == cohortVersions.get(limit.record.cohort());
+        if (budgetsHold) {
+            for (Map.Entry<String, Amount> budget : limit.record.budgets().entrySet()) {
+                counted = counted.plus(budget.getValue().minus(limit.spent.getOrDefault(budget.getKey(), Amount.ZERO)));
+            }
         }
+        return counted;
     }
 
     /** What a reservation still holds: no more than the tasks that are left to do. */
@@ -176,7 +221,7 @@
         }
         int left = 0;
         for (int task = 0; task < job.tasks && left < job.reservation.tasks(); task++) {
-            left += world.hasCompleted(job.id + "/" + (job.gang ? 0 : task)) ? 0 : 1;
+            left += world.isOver(job.id, task) ? 0 : 1;
         }
         return left;
     }
@@ -196,6 +241,7 @@
         if (admitted == null) {
             throw new AssertionError("started without being on record: " + task);
         }
+        checkCohort(started.team, admitted, task);
         Amount running = Amount.ZERO;
         StringBuilder jobs = new StringBuilder();
         for (OpenJob job : everyJob.values()) {
@@ -210,6 +256,27 @@
         }
     }
 
+    /** A task that was admitted after its team joined the cohort finds all teams of it within a limit since. */
+    private void checkCohort(String team, long admitted, String task) {
+        String cohort = limits.get(team).record.cohort();
+        if (cohort == null || cohorts.get(cohort).firstKey() > admitted) {
+            return;
+        }
+        Amount running = Amount.ZERO;
+        StringBuilder jobs = new StringBuilder();
+        for (OpenJob job : everyJob.values()) {
+            if (cohort.equals(limits.get(job.team).record.cohort()) && running(job) > 0) {
+                running = running.plus(job.perTask.times(running(job)));
+                jobs.append(running(job)).append(" of ").append(job).append("; ");
+            }
+        }
+        TreeMap<Long, Amount> history = cohorts.get(cohort);
+        if (history.tailMap(history.floorKey(admitted)).values().stream().noneMatch(running::fitsInto)) {
+            throw new AssertionError("overshoot: cohort " + cohort + " runs " + running + " with " + task
+                    + " admitted at " + admitted + " under " + history + ": " + jobs);
+        }
+    }
+
     /** Whether a limit that was in force at this revision or later covers so much. */
     private boolean mostSince(String team, long revision, Amount running) {
         Limit limit = limits.get(team);
--- a/src/test/java/org/weldcourse/quota/TeamLimitsRandomTest.java
+++ b/src/test/java/org/weldcourse/quota/TeamLimitsRandomTest.java
@@ -9,9 +9,11 @@
 import java.io.ByteArrayInputStream;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
+import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
 import org.weldcourse.settings.Settings;
 import org.weldcourse.settings.SettingsFile;
@@ -25,6 +27,8 @@
     private static final int FROM = Integer.getInteger("weldcourse.first-seed", 0);
     private static final int NODES = 5;
     private static final int EVENTS = 60;
+    private static final String COHORT = "branches";
+    private static final double COHORT_LIMIT = 18;
     private static final List<Settings.Team> TEAMS =
             List.of(new Settings.Team("core", 4, 16, 0, 0), new Settings.Team("edge", 0, 12, 0, 0));
 
@@ -43,9 +47,13 @@
         private final SimulatedCluster world;
         private final QuotaHistory history;
         private final Totals totals;
-        private final Map<String, Map<String, Object>> accepted = new java.util.LinkedHashMap<>();
+        private final Map<String, Map<String, Object>> accepted = new LinkedHashMap<>();
         private final List<String> cancelled = new ArrayList<>();
         private final List<String> down = new ArrayList<>();
+        private final boolean inCohort;
+        /** On light days jobs are short, so that there mostly is room and controllers reserve. */
+        private final boolean light;
+
         private int submitted;
 
         Day(long seed, Totals totals) {
@@ -53,7 +61,8 @@
             random = new Random(seed);
             world = new SimulatedCluster(NODES, 16, 32 * 1024, TEAMS, Tuning.TeamLimits.RECORDED);
             history = new QuotaHistory(world);
-            world.net.fates((from, call) -> fate());
+            inCohort = seed % 2 == 1;
+            light = seed % 4 >= 2;
         }
 
         private long fate() {
@@ -65,8 +74,33 @@
             return dice == 1 ? 2_000_000 + random.nextInt(8_000_000) : FakeNet.NORMAL;
         }
 
+        /** Both teams borrow in one cohort on half of the days. */
+        private void joinCohort() {
+            LimitsEditor editor = new LimitsEditor(world.storeOf("operator"));
+            changed(then -> editor.setCohort(COHORT, cohortChange(COHORT_LIMIT), then));
+            for (Settings.Team team : TEAMS) {
+                changed(then -> editor.set(team, new LimitChange(null, null, null, null, null, COHORT), then));
+            }
+        }
+
+        private static LimitChange cohortChange(double limit) {
+            return new LimitChange(null, limit, null, null, null, null);
+        }
+
+        private void changed(Consumer<Consumer<LimitsEditor.Result>> edit) {
+            LimitsEditor.Result[] result = new LimitsEditor.Result[1];
+            edit.accept(ended -> result[0] = ended);
+            world.time.passSeconds(2);
+            assertNotNull(result[0]);
+            assertTrue(result[0].isChanged(), result[0].problem());
+        }
+
         void play() {
             world.time.passSeconds(8);
+            if (inCohort) {
+                joinCohort();
+            }
+            world.net.fates((from, call) -> fate());
             for (int i = 0; i < EVENTS; i++) {
                 totals.events++;
                 event(random.nextInt(20));
@@ -124,7 +158,7 @@
                 }
             }
             body.put("rank", random.nextInt(4) == 0 ? "urgent" : "normal");
-            world.runMicros.putIfAbsent(id, 1_000_000L + random.nextInt(6_000_000));
+            world.runMicros.putIfAbsent(id, 300_000L + random.nextInt(light ? 1_000_000 : 6_000_000));
             world.submitSoon(node, body, answer -> {
                 if (answer.status() == 200 || answer.status() == 201) {
                     accepted.put(id, body);
@@ -134,10 +168,18 @@
 
         private void setLimit() {
             totals.limitsSet++;
+            if (inCohort && random.nextInt(3) == 0) {
+                double limit = 4 + random.nextInt((int) COHORT_LIMIT - 3);
+                new LimitsEditor(world.storeOf("operator")).setCohort(COHORT, cohortChange(limit), result -> {});
+                return;
+            }
             Settings.Team team = TEAMS.get(random.nextInt(TEAMS.size()));
             double limit = 1 + random.nextInt((int) team.cpusMax());
+            if (light) {
+                limit = Math.max(limit, team.cpusMax() / 2);
+            }
             OverLimit over = random.nextBoolean() ? OverLimit.DRAIN : OverLimit.DISPLACE;
-            LimitsEditor.Change change = new LimitsEditor.Change(Math.min(limit, team.cpus()), limit, null, null, over);
+            LimitChange change = new LimitChange(Math.min(limit, team.cpus()), limit, null, null, over, null);
             new LimitsEditor(world.storeOf("operator")).set(team, change, result -> {});
         }
 
@@ -195,9 +237,12 @@
                 world.refuseState(node, false);
             });
             world.time.passSeconds(30);
+            if (inCohort) {
+                LimitsEditor editor = new LimitsEditor(world.storeOf("operator"));
+                changed(then -> editor.setCohort(COHORT, cohortChange(COHORT_LIMIT), then));
+            }
             for (Settings.Team team : TEAMS) {
-                LimitsEditor.Change change =
-                        new LimitsEditor.Change(team.cpus(), team.cpusMax(), null, null, OverLimit.DRAIN);
+                LimitChange change = new LimitChange(team.cpus(), team.cpusMax(), null, null, OverLimit.DRAIN, null);
                 LimitsEditor.Result[] set = new LimitsEditor.Result[1];
                 new LimitsEditor(world.storeOf("operator")).set(team, change, result -> set[0] = result);
                 world.time.passSeconds(2);
--- a/src/test/java/org/weldcourse/simulation/FakeState.java
+++ b/src/test/java/org/weldcourse/simulation/FakeState.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -24,7 +24,7 @@
     private final List<Change> changes = new ArrayList<>();
     private final Map<Long, Long> leaseEnds = new HashMap<>();
     private final Map<Long, Long> leaseTtls = new HashMap<>();
-    private final Set<Runnable> watchers = new HashSet<>();
+    private final Set<Runnable> watchers = new LinkedHashSet<>();
     private long revision;
     private long lastLease;
     private boolean down;
--- a/src/test/java/org/weldcourse/simulation/FakeWorker.java
+++ b/src/test/java/org/weldcourse/simulation/FakeWorker.java
@@ -19,6 +19,9 @@
         void ended(FakeWorker worker, String task);
 
         void completed(String task);
+
+        /** Whether nothing keeps the task from its end: a gang goes on only while all of it runs. */
+        boolean mayComplete(String task);
     }
 
     private static final class Bead {
@@ -31,6 +34,8 @@
         }
     }
 
+    private static final long GANG_RETRY_MICROS = 100_000;
+
     private final FakeTime time;
     private final Caller caller;
     private final List<String> controllers;
@@ -295,17 +300,30 @@
         tasks.started(this, task, attempt);
         long runMicros = tasks.runMicros(task);
         if (runMicros < Long.MAX_VALUE) {
-            time.after(
-                    runMicros,
-                    () -> whenAwake(() -> {
-                        if (beads.get(task) == fresh && fresh.heat.equals("running")) {
-                            exit(task, fresh, runMicros < 0 ? "error" : "done");
-                        }
-                    }));
+            time.after(runMicros, () -> whenAwake(() -> finish(task, fresh, runMicros < 0 ? "error" : "done")));
         }
         changed();
     }
 
+    private void finish(String task, Bead bead, String cause) {
+        if (beads.get(task) != bead || !bead.heat.equals("running")) {
+            return;
+        }
+        if (cause.equals("done") && !tasks.mayComplete(task)) {
+            time.after(GANG_RETRY_MICROS, () -> whenAwake(() -> finish(task, bead, cause)));
+            return;
+        }
+        exit(task, bead, cause);
+    }
+
+    /** The gang of the task is done, and so is the task. */
+    public void doneWithGang(String task) {
+        Bead bead = beads.get(task);
+        if (bead != null && bead.heat.equals("running")) {
+            exit(task, bead, "done");
+        }
+    }
+
     private void exit(String task, Bead bead, String cause) {
         bead.heat = "exited";
         bead.cause = cause;
--- a/src/test/java/org/weldcourse/simulation/SimulatedCluster.java
+++ b/src/test/java/org/weldcourse/simulation/SimulatedCluster.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import org.weldcourse.app.Controller;
@@ -440,15 +441,20 @@
     }
 
     private void checkDone(String id) {
-        Map<String, Object> job = jobs.get(id);
-        for (int task = 0; task < Json.integer(job, "beads", 0); task++) {
-            // A gang is done with the first of its tasks.
-            if (!completed.contains(id + "/" + ("ensemble".equals(job.get("shape")) ? 0 : task))) {
+        for (int task = 0; task < Json.integer(jobs.get(id), "beads", 0); task++) {
+            if (!isOver(id, task)) {
                 throw new AssertionError("not_done: " + id + "/" + task);
             }
         }
     }
 
+    /** Whether the task is done; all tasks of a gang are with whichever of them is the first. */
+    public boolean isOver(String id, int task) {
+        return isGang(id)
+                ? completed.stream().anyMatch(done -> done.startsWith(id + "/"))
+                : completed.contains(id + "/" + task);
+    }
+
     /** A job that was accepted, and partly done, before this world began: its record holds the user's words. */
     public void adopt(Map<String, Object> record, BitSet done) {
         String id = Json.text(record, "name_id");
@@ -573,7 +579,8 @@
         }
         for (Settings.Team team : teams) {
             if (team.name().equals(crew) && used > team.cpusMax() + 1e-9) {
-                throw new AssertionError("quota: " + crew + " uses " + used);
+                throw new AssertionError(
+                        "quota: " + crew + " uses " + used + " with " + new TreeSet<>(running.keySet()));
             }
         }
     }
@@ -586,5 +593,33 @@
     @Override
     public void completed(String task) {
         completed.add(task);
+        String id = task.substring(0, task.indexOf('/'));
+        if (isGang(id)) {
+            for (Map.Entry<String, FakeWorker> mate : new ArrayList<>(running.entrySet())) {
+                if (mate.getKey().startsWith(id + "/")) {
+                    mate.getValue().doneWithGang(mate.getKey());
+                }
+            }
+        }
+    }
+
+    private boolean isGang(String id) {
+        return "ensemble".equals(jobs.get(id).get("shape"));
+    }
+
+    /** The tasks of a gang complete together: none does while one of them is not there, or its machine hangs. */
+    @Override
+    public boolean mayComplete(String task) {
+        String id = task.substring(0, task.indexOf('/'));
+        if (!isGang(id)) {
+            return true;
+        }
+        for (int mate = 0; mate < Json.integer(jobs.get(id), "beads", 0); mate++) {
+            FakeWorker worker = running.get(id + "/" + mate);
+            if (worker == null || worker.isFrozen()) {
+                return false;
+            }
+        }
+        return true;
     }
 }
