--- /dev/null
+++ b/src/test/java/org/weldcourse/quota/LimitChangesTest.java
@@ -0,0 +1,169 @@
+package org.weldcourse.quota;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.weldcourse.http.Json;
+import org.weldcourse.simulation.FakeNet;
+
+/** Limits that change while jobs are served, and changes that are refused. */
+class LimitChangesTest extends TeamLimitsWorld {
+    /** The limit is lowered before each single commit of a scripted day. */
+    @ParameterizedTest
+    @EnumSource(OverLimit.class)
+    void aLimitIsLoweredBetweenAnyTwoWrites(OverLimit over) {
+        int commits = lowerBefore(-1, over);
+        assertTrue(commits > 10, commits + " commits");
+        for (int at = 0; at < commits; at++) {
+            lowerBefore(at, over);
+        }
+    }
+
+    private int lowerBefore(int at, OverLimit over) {
+        TeamLimitsWorld day = new TeamLimitsWorld();
+        int[] commits = new int[1];
+        int[] lowered = new int[1];
+        day.world.net.fates((from, call) -> {
+            if (call.path().equals("/commit") && !from.equals("operator") && commits[0]++ == at) {
+                lowered[0]++;
+                LimitChange change = new LimitChange(1.0, 2.0, null, null, over, null);
+                day.operator.set(team(CREW), change, result -> lowered[0]++);
+                return 20_000;
+            }
+            return FakeNet.NORMAL;
+        });
+        for (int i = 0; i < 3; i++) {
+            for (String node : List.of("n0", "n1", "n2")) {
+                String shape = i == 1 ? "array" : "ensemble";
+                day.world.submitSoon(node, day.job(CREW, 1_500_000, "shape", shape, "beads", 2L), answer -> {});
+            }
+            day.world.time.passSeconds(i == 0 ? 9 : 3);
+        }
+        for (int i = 0; i < 120 && !day.world.state.keys("open/").isEmpty(); i++) {
+            day.world.time.passSeconds(1);
+        }
+        assertEquals(List.of(), day.world.state.keys("open/"), "lowered before commit " + at);
+        assertTrue(at < 0 || lowered[0] == 2, "the limit was lowered");
+        return commits[0];
+    }
+
+    @Test
+    void whatRunsOverALoweredLimitIsDisplacedOrDrainsAsTheOperatorChose() {
+        submitted("n0", job(CREW, FOREVER, "shape", "service", "beads", 10L, "expected_s", 0.0));
+        world.time.passSeconds(30);
+        assertEquals(10, running(CREW));
+        set(CREW, limit(6));
+        world.time.passSeconds(20);
+        assertEquals(10, running(CREW), "drains, and a replica has no end");
+        set(CREW, new LimitChange(null, null, null, null, OverLimit.DISPLACE, null));
+        world.time.passSeconds(20);
+        assertEquals(6, running(CREW));
+        set(CREW, limit(3));
+        world.time.passSeconds(20);
+        assertEquals(3, running(CREW), "lowered below the guarantee as well");
+        set(CREW, limit(8));
+        world.killNode(world.leader());
+        world.time.passSeconds(40);
+        assertEquals(8, running(CREW), "raised while the leader changed");
+    }
+
+    @Test
+    void theCohortsSumShrinksUnderRunningWork() {
+        cohort(16);
+        service(CREW, 8);
+        service("edge", 8);
+        world.time.passSeconds(40);
+        assertEquals(16, running(CREW) + running("edge"));
+        LimitChange change = new LimitChange(null, 12.0, null, null, OverLimit.DISPLACE, null);
+        assertTrue(edit(then -> operator.setCohort("all", change, then)).isChanged());
+        world.time.passSeconds(20);
+        assertEquals(12, running(CREW) + running("edge"));
+        assertTrue(running(CREW) >= 4 && running("edge") >= 4, "guarantees stay");
+    }
+
+    @Test
+    void aRecordThatCannotBeReadStopsItsTeamAlone() {
+        for (Object garbage : List.of(Json.of("format", 2L, "team", CREW), Json.of("cpus", "many"))) {
+            world.state.plant(TeamLimitCodec.key(CREW), garbage);
+            world.time.passSeconds(2);
+            Map<String, Object> stopped = submitted("n0", job(CREW, 1_000_000));
+            Map<String, Object> other = submitted("n1", job("edge", 1_000_000));
+            assertTrue(world.reaches("n2", id(other), "done", 60));
+            world.time.passSeconds(10);
+            assertEquals("queued", world.poll("n2", id(stopped)).state());
+            assertEquals("cancelled", world.withdraw("n2", id(stopped)).state());
+            LimitsEditor.Result result = edit(then -> operator.set(team(CREW), limit(3), then));
+            assertFalse(result.isChanged());
+            assertTrue(result.problem().contains(TeamLimitCodec.key(CREW)), result.problem());
+        }
+    }
+
+    @Test
+    void aRaisedLimitCountsForAJobThatWasTooLargeAndALoweredOneQueuesWhatIsKnown() {
+        Map<String, Object> large = job(CREW, 1_000_000, "shape", "ensemble", "beads", 12L);
+        set(CREW, limit(8));
+        world.time.passSeconds(1);
+        assertEquals(422, world.submit("n1", large).status());
+        set(CREW, limit(14));
+        assertEquals(201, world.submit("n1", large).status());
+        set(CREW, limit(2));
+        assertEquals(200, world.submit("n2", large).status(), "known, whatever the limit is now");
+        world.time.passSeconds(30);
+        set(CREW, limit(16));
+        assertTrue(world.reaches("n3", id(large), "done", 100));
+    }
+
+    @Test
+    void badChangesSayWhyAndWriteNothing() {
+        Map<LimitChange, String> wrong = new HashMap<>();
+        wrong.put(new LimitChange(-1.0, null, null, null, null, null), "cpus:");
+        wrong.put(new LimitChange(null, Double.NaN, null, null, null, null), "cpus-max:");
+        wrong.put(new LimitChange(9.0, 8.0, null, null, null, null), "guarantee");
+        wrong.put(new LimitChange(null, null, null, null, null, "unheard-of"), "cohort:");
+        Map<String, Object> before = world.state.value(TeamLimitCodec.key(CREW));
+        wrong.forEach((change, word) -> {
+            LimitsEditor.Result result = edit(then -> operator.set(team(CREW), change, then));
+            assertFalse(result.isChanged());
+            assertTrue(result.problem().contains(word), result.problem());
+        });
+        cohort(12);
+        LimitChange small = new LimitChange(null, 11.0, null, null, null, null);
+        LimitsEditor.Result tooSmall = edit(then -> operator.setCohort("all", small, then));
+        assertTrue(tooSmall.problem().contains("can't cover guarantees"), tooSmall.problem());
+        assertEquals(
+                before.get("cpus_max"),
+                world.state.value(TeamLimitCodec.key(CREW)).get("cpus_max"));
+        world.state.down(true);
+        LimitsEditor.Result unreachable = edit(then -> operator.set(team(CREW), limit(3), then));
+        assertEquals("the state service does not answer", unreachable.problem());
+    }
+
+    @Test
+    void twoOperatorsCannotTogetherPromiseMoreThanACohortHas() {
+        cohort(12);
+        List<LimitsEditor.Result> results = new ArrayList<>();
+        for (String crew : List.of(CREW, "edge", "late")) {
+            LimitChange change = new LimitChange(6.0, null, null, null, null, null);
+            new LimitsEditor(world.storeOf("operator-" + crew)).set(team(crew), change, results::add);
+        }
+        world.time.passSeconds(5);
+        assertEquals(3, results.size());
+        assertEquals(0, results.stream().filter(LimitsEditor.Result::isChanged).count());
+        set("late", new LimitChange(0.0, null, null, null, null, null));
+        results.clear();
+        for (String crew : List.of(CREW, "edge")) {
+            LimitChange change = new LimitChange(8.0, null, null, null, null, null);
+            new LimitsEditor(world.storeOf("operator-" + crew)).set(team(crew), change, results::add);
+        }
+        world.time.passSeconds(5);
+        assertEquals(1, results.stream().filter(LimitsEditor.Result::isChanged).count(), results.toString());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/weldcourse/quota/TeamLimitsWorld.java
@@ -0,0 +1,150 @@
+package org.weldcourse.quota;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.weldcourse.simulation.SimulatedCluster.jobBody;
+
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.weldcourse.http.Json;
+import org.weldcourse.settings.Settings;
+import org.weldcourse.settings.Tuning;
+import org.weldcourse.simulation.SimulatedCluster;
+
+/** Five controllers with team limits on record, three teams, and an operator; the history is checked all along. */
+class TeamLimitsWorld {
+    static final long FOREVER = Long.MAX_VALUE;
+    static final String CREW = "core";
+    static final List<Settings.Team> TEAMS = List.of(
+            new Settings.Team(CREW, 4, 16, 0, 0),
+            new Settings.Team("edge", 4, 16, 0, 0),
+            new Settings.Team("late", 4, 16, 0, 0));
+
+    final SimulatedCluster world;
+    final QuotaHistory history;
+    final LimitsEditor operator;
+    private int lastJob;
+
+    TeamLimitsWorld() {
+        world = new SimulatedCluster(5, 16, 32 * 1024, TEAMS, Tuning.TeamLimits.RECORDED);
+        history = new QuotaHistory(world.state, world.rules());
+        operator = new LimitsEditor(world.storeOf("operator"));
+        world.time.passSeconds(3);
+    }
+
+    static LimitChange limit(double cpus) {
+        return new LimitChange(Math.min(4, cpus), cpus, null, null, null, null);
+    }
+
+    LimitsEditor.Result edit(Consumer<Consumer<LimitsEditor.Result>> change) {
+        LimitsEditor.Result[] result = new LimitsEditor.Result[1];
+        change.accept(ended -> result[0] = ended);
+        for (int i = 0; i < 100 && result[0] == null; i++) {
+            world.time.pass(50_000);
+        }
+        assertNotNull(result[0], "the operator's change has ended");
+        return result[0];
+    }
+
+    void set(String team, LimitChange change) {
+        LimitsEditor.Result result = edit(then -> operator.set(team(team), change, then));
+        assertTrue(result.isChanged(), result.problem());
+    }
+
+    static Settings.Team team(String name) {
+        return TEAMS.stream()
+                .filter(team -> team.name().equals(name))
+                .findFirst()
+                .orElseThrow();
+    }
+
+    Map<String, Object> job(String crew, long runMicros, Object... changes) {
+        String id = String.format("req-%06d", ++lastJob);
+        world.runMicros.put(id, runMicros);
+        Map<String, Object> body = jobBody(id, "crew", crew, "cpus", 1.0, "beads", 1L);
+        body.putAll(Json.of(changes));
+        return body;
+    }
+
+    static String id(Map<String, Object> body) {
+        return Json.text(body, "name_id");
+    }
+
+    Map<String, Object> submitted(String node, Map<String, Object> body) {
+        assertEquals(201, world.submit(node, body).status());
+        return body;
+    }
+
+    /** Lets every controller get a budget by accepting a job of the team. */
+    void grantBudgets(String crew) {
+        for (int round = 0; round < 3; round++) {
+            world.alive().forEach(node -> submitted(node, job(crew, 100_000, "shape", "ensemble")));
+            world.time.passSeconds(3);
+        }
+        for (int i = 0; i < 60 && !world.state.keys("open/").isEmpty(); i++) {
+            world.time.passSeconds(1);
+        }
+        assertFalse(record(crew).budgets().isEmpty(), "controllers have budgets");
+    }
+
+    TeamLimit record(String crew) {
+        try {
+            String key = TeamLimitCodec.key(crew);
+            return TeamLimitCodec.read(new org.weldcourse.store.Store.Entry(key, world.state.value(key), 1, 0));
+        } catch (TeamLimitCodec.Unreadable unreadable) {
+            throw new AssertionError(unreadable);
+        }
+    }
+
+    double reservedCpus(String crew) {
+        double sum = 0;
+        for (String key : world.state.keys("open/")) {
+            Map<String, Object> value = world.state.value(key);
+            Reservation reservation = Reservation.of(value);
+            if (crew.equals(value.get("crew")) && reservation != null) {
+                sum += reservation.tasks() * Json.decimal(value, "cpus", 0);
+            }
+        }
+        return sum;
+    }
+
+    int running(String crew) {
+        int running = 0;
+        for (Map.Entry<String, Map<String, Object>> entry : world.jobs.entrySet()) {
+            for (int task = 0; task < Json.integer(entry.getValue(), "beads", 0); task++) {
+                boolean here = world.whereIs(entry.getKey() + "/" + task) != null;
+                running += here && crew.equals(entry.getValue().get("crew")) ? 1 : 0;
+            }
+        }
+        return running;
+    }
+
+    void cohort(double cpus) {
+        LimitChange change = new LimitChange(null, cpus, null, null, null, null);
+        assertTrue(edit(then -> operator.setCohort("all", change, then)).isChanged());
+        for (Settings.Team team : TEAMS) {
+            set(team.name(), new LimitChange(null, null, null, null, null, "all"));
+        }
+    }
+
+    Map<String, Object> service(String crew, long replicas) {
+        return submitted("n0", job(crew, FOREVER, "shape", "service", "beads", replicas, "expected_s", 0.0));
+    }
+
+    double secondsUntilGuarantees(String... crews) {
+        for (int tenths = 0; tenths < 3_000; tenths++) {
+            boolean whole = true;
+            for (String crew : crews) {
+                whole &= running(crew) >= 4;
+            }
+            if (whole) {
+                return tenths / 10.0;
+            }
+            world.time.pass(100_000);
+        }
+        throw new AssertionError("guarantees are not had back");
+    }
+}
--- /dev/null
+++ b/src/test/java/org/weldcourse/simulation/ClusterRules.java
@@ -0,0 +1,236 @@
+package org.weldcourse.simulation;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.BiConsumer;
+import org.weldcourse.http.Json;
+import org.weldcourse.runtime.Clock;
+import org.weldcourse.settings.Settings;
+import org.weldcourse.simulation.SimulatedCluster.Answer;
+
+/** The rules of the protocol, watched from outside: what tasks do on machines, and what users are told. */
+public final class ClusterRules implements FakeWorker.Tasks {
+    public final Map<String, Integer> starts = new HashMap<>();
+    public final Map<String, Map<String, Object>> jobs = new HashMap<>();
+    public final Map<String, Long> runMicros = new HashMap<>();
+    private final Map<String, FakeWorker> running = new HashMap<>();
+    private final Map<String, Long> cancelledMicros = new HashMap<>();
+    private final Set<String> completed = new HashSet<>();
+    /** The latest that any node told of a job. */
+    private final Map<String, String> told = new HashMap<>();
+
+    private final Clock time;
+    private final List<Settings.Team> teams;
+    private final long cancelMicros;
+    private BiConsumer<String, Integer> onStart = (task, attempt) -> {};
+    private int startsAfterCancellation;
+
+    public ClusterRules(Clock time, List<Settings.Team> teams, long cancelMicros) {
+        this.time = time;
+        this.teams = teams;
+        this.cancelMicros = cancelMicros;
+    }
+
+    /** Told of each task that starts, after the rules were checked. */
+    public void onStart(BiConsumer<String, Integer> listener) {
+        onStart = listener;
+    }
+
+    /** Told as well, after the listener that was there before. */
+    public void alsoOnStart(BiConsumer<String, Integer> listener) {
+        onStart = onStart.andThen(listener);
+    }
+
+    /** The latest that any node told of the job, or null. */
+    public String told(String id) {
+        return told.get(id);
+    }
+
+    /** Fails when an answer is older than what was told before its question, or is not true. */
+    public Answer heed(String id, String before, Answer answer) {
+        if (answer.status() != 200 && answer.status() != 201) {
+            if (before != null && (answer.status() == 404 || answer.status() == 400 || answer.status() == 422)) {
+                throw new AssertionError("forgotten: " + id + " after " + before + ": " + answer);
+            }
+            return answer;
+        }
+        if (!jobs.containsKey(id)) {
+            throw new AssertionError("invented: " + id);
+        }
+        boolean over = "done".equals(answer.state()) || "cancelled".equals(answer.state());
+        if (before != null && !before.equals("open") && !before.equals(answer.state())) {
+            throw new AssertionError("went_back: " + id + " from " + before + ": " + answer);
+        }
+        if ("done".equals(answer.state())) {
+            checkDone(id);
+        }
+        if ("cancelled".equals(answer.state())) {
+            cancelledMicros.putIfAbsent(id, time.nowMicros());
+        }
+        if (over || !told.containsKey(id)) {
+            told.put(id, over ? answer.state() : "open");
+        }
+        return answer;
+    }
+
+    private void checkDone(String id) {
+        for (int task = 0; task < Json.integer(jobs.get(id), "beads", 0); task++) {
+            if (!isOver(id, task)) {
+                throw new AssertionError("not_done: " + id + "/" + task);
+            }
+        }
+    }
+
+    /** Whether the task is done; all tasks of a gang are with whichever of them is the first. */
+    public boolean isOver(String id, int task) {
+        return isGang(id)
+                ? completed.stream().anyMatch(done -> done.startsWith(id + "/"))
+                : completed.contains(id + "/" + task);
+    }
+
+    /** A job that was accepted, and partly done, before this world began: its record holds the user's words. */
+    public void adopt(Map<String, Object> record, BitSet done) {
+        String id = Json.text(record, "name_id");
+        jobs.put(id, record);
+        told.put(id, "open");
+        done.stream().forEach(task -> completed.add(id + "/" + task));
+    }
+
+    /** Fails when a task of a cancelled job is still somewhere after the time that the rules allow. */
+    public void checkCancelled() {
+        cancelledMicros.forEach((id, at) -> {
+            for (String task : running.keySet()) {
+                if (task.startsWith(id + "/") && time.nowMicros() > at + cancelMicros) {
+                    throw new AssertionError("ran_cancelled: " + task);
+                }
+            }
+        });
+    }
+
+    public FakeWorker whereIs(String task) {
+        return running.get(task);
+    }
+
+    public int startsAfterCancellation() {
+        return startsAfterCancellation;
+    }
+
+    public boolean hasCompleted(String task) {
+        return completed.contains(task);
+    }
+
+    public int runningTasks() {
+        return running.size();
+    }
+
+    @Override
+    public long runMicros(String task) {
+        String id = task.substring(0, task.indexOf('/'));
+        return runMicros.getOrDefault(task, runMicros.getOrDefault(id, 10_000_000L));
+    }
+
+    @Override
+    public void started(FakeWorker worker, String task, int attempt) {
+        String id = task.substring(0, task.indexOf('/'));
+        if (running.containsKey(task)) {
+            throw new AssertionError("ran_twice: " + task);
+        }
+        Long cancelled = cancelledMicros.get(id);
+        if (cancelled != null && time.nowMicros() > cancelled + cancelMicros) {
+            throw new AssertionError("ran_cancelled: " + task);
+        }
+        startsAfterCancellation += cancelled == null ? 0 : 1;
+        Map<String, Object> job = jobs.get(id);
+        if (job == null) {
+            throw new AssertionError("a task of no job: " + task);
+        }
+        checkPlace(job, id, worker);
+        running.put(task, worker);
+        starts.merge(task, 1, Integer::sum);
+        checkQuota(Json.text(job, "crew"));
+        onStart.accept(task, attempt);
+    }
+
+    private void checkPlace(Map<String, Object> job, String id, FakeWorker worker) {
+        FakeCloud.Rented at = worker.machine();
+        boolean wrong = job.get("rigs") != null && !Json.list(job.get("rigs")).contains(at.type())
+                || job.get("yard") != null && !job.get("yard").equals(at.zone())
+                || !Json.flag(job, "loaners") && at.spot();
+        Set<String> zones = new HashSet<>();
+        int sameZone = 1;
+        for (Map.Entry<String, FakeWorker> entry : running.entrySet()) {
+            if (entry.getKey().startsWith(id + "/")) {
+                String zone = entry.getValue().machine().zone();
+                zones.add(zone);
+                sameZone += zone.equals(at.zone()) ? 1 : 0;
+            }
+        }
+        zones.add(at.zone());
+        long tasks = Json.integer(job, "beads", 0);
+        wrong |= Json.flag(job, "together") && zones.size() > 1;
+        wrong |= Json.flag(job, "apart") && sameZone > (tasks + 1) / 2;
+        if (wrong) {
+            throw new AssertionError("wrong_place: " + id + " on " + at);
+        }
+    }
+
+    private void checkQuota(String crew) {
+        double used = 0;
+        for (String task : running.keySet()) {
+            Map<String, Object> job = jobs.get(task.substring(0, task.indexOf('/')));
+            if (crew.equals(Json.text(job, "crew"))) {
+                used += Json.decimal(job, "cpus", 0);
+            }
+        }
+        for (Settings.Team team : teams) {
+            if (team.name().equals(crew) && used > team.cpusMax() + 1e-9) {
+                throw new AssertionError(
+                        "quota: " + crew + " uses " + used + " with " + new TreeSet<>(running.keySet()));
+            }
+        }
+    }
+
+    @Override
+    public void ended(FakeWorker worker, String task) {
+        running.remove(task, worker);
+    }
+
+    @Override
+    public void completed(String task) {
+        completed.add(task);
+        String id = task.substring(0, task.indexOf('/'));
+        if (isGang(id)) {
+            for (Map.Entry<String, FakeWorker> mate : new ArrayList<>(running.entrySet())) {
+                if (mate.getKey().startsWith(id + "/")) {
+                    mate.getValue().doneWithGang(mate.getKey());
+                }
+            }
+        }
+    }
+
+    private boolean isGang(String id) {
+        return "ensemble".equals(jobs.get(id).get("shape"));
+    }
+
+    /** The tasks of a gang complete together: none does while one of them is not there, or its machine hangs. */
+    @Override
+    public boolean mayComplete(String task) {
+        String id = task.substring(0, task.indexOf('/'));
+        if (!isGang(id)) {
+            return true;
+        }
+        for (int mate = 0; mate < Json.integer(jobs.get(id), "beads", 0); mate++) {
+            FakeWorker worker = running.get(id + "/" + mate);
+            if (worker == null || worker.isFrozen()) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/weldcourse/simulation/DeployedProgram.java
@@ -0,0 +1,36 @@
+package org.weldcourse.simulation;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.UnaryOperator;
+
+/** The program as {@code deploy/service.toml} starts it. */
+public final class DeployedProgram {
+    private DeployedProgram() {}
+
+    /** The words of the start command, each changed as asked; the settings' path is still to be added. */
+    public static List<String> command(UnaryOperator<String> change) throws IOException {
+        String run = Files.readAllLines(Path.of("deploy/service.toml")).stream()
+                .filter(line -> line.startsWith("run = "))
+                .findFirst()
+                .orElseThrow();
+        List<String> command = new ArrayList<>();
+        for (String word :
+                run.substring(run.indexOf('"') + 1, run.lastIndexOf('"')).split(" ")) {
+            command.add(change.apply(word));
+        }
+        return command;
+    }
+
+    /** A port of the loopback that was free a moment ago. */
+    public static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+            return socket.getLocalPort();
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/weldcourse/simulation/LoopbackCluster.java
@@ -0,0 +1,271 @@
+package org.weldcourse.simulation;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.weldcourse.http.NettyCaller;
+import org.weldcourse.http.Server;
+import org.weldcourse.runtime.EventLoopTimers;
+import org.weldcourse.settings.Settings;
+
+/**
+ * State service, cloud and workers of the simulated world on the loopback, in real time, for controllers that are real
+ * processes. All stand-ins live on one event loop; a rule that breaks there is kept until the test asks for it.
+ */
+public final class LoopbackCluster {
+    private static final String HOST = "127.0.0.1";
+    private static final long TICK_MILLIS = 2;
+    private static final long BOOT_MICROS = 1_000_000;
+    private static final long REPORT_MICROS = 1_000_000;
+    private static final long LEASE_MICROS = 10_000_000;
+    private static final long CANCEL_MICROS = 35_000_000;
+    private static final int TXN_OPS = 16;
+    private static final int VALUE_BYTES = 32 * 1024;
+    private static final int CONNECTIONS = 500;
+
+    private final EventLoop loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory()).next();
+    private final FakeTime time = new FakeTime();
+    private final List<Settings.Team> teams;
+    private final ClusterRules rules;
+    private final FakeState state;
+    private final FakeCloud cloud;
+    private final Map<String, FakeWorker> workers = new HashMap<>();
+    private final Map<String, WorkerAddress> addresses = new HashMap<>();
+    private final Deque<WorkerAddress> freeAddresses = new ArrayDeque<>();
+    private final Map<String, Integer> apiPorts = new LinkedHashMap<>();
+    private final Map<String, Integer> peerPorts = new LinkedHashMap<>();
+    private final Map<String, Process> processes = new LinkedHashMap<>();
+    private final Path directory;
+    private final int statePort;
+    private final int cloudPort;
+    private final List<String> options;
+    private long tickedNanos = System.nanoTime();
+    private volatile AssertionError failure;
+
+    /** Where a worker listens; the handler changes with the machine that has the address. */
+    private static final class WorkerAddress {
+        final String address;
+        Server.Handler handler = (request, reply) -> reply.send(404, Map.of());
+
+        WorkerAddress(String address) {
+            this.address = address;
+        }
+    }
+
+    /** Stand-ins for so many controllers and machines; {@code options} are added to the controllers' command. */
+    public LoopbackCluster(
+            int controllers, int machines, List<Settings.Team> teams, Path directory, List<String> options)
+            throws IOException, InterruptedException {
+        this.teams = teams;
+        this.directory = directory;
+        this.options = options;
+        rules = new ClusterRules(time, teams, CANCEL_MICROS);
+        state = new FakeState(time, TXN_OPS, VALUE_BYTES);
+        cloud = new FakeCloud(time, BOOT_MICROS, this::machineUp, this::machineGone);
+        cloud.capacity = machines;
+        statePort = serve(state);
+        cloudPort = serve(cloud);
+        for (int i = 0; i < machines + machines / 2; i++) {
+            WorkerAddress[] worker = new WorkerAddress[1];
+            int port = serve((request, reply) -> worker[0].handler.handle(request, reply));
+            worker[0] = new WorkerAddress(HOST + ":" + port);
+            freeAddresses.add(worker[0]);
+        }
+        for (int i = 0; i < controllers; i++) {
+            apiPorts.put("n" + i, DeployedProgram.freePort());
+            peerPorts.put("n" + i, DeployedProgram.freePort());
+        }
+        loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private int serve(Server.Handler handler) throws IOException, InterruptedException {
+        int port = DeployedProgram.freePort();
+        Server.Limits limits = new Server.Limits(CONNECTIONS, CONNECTIONS, Long.MAX_VALUE, Long.MAX_VALUE / 2);
+        Server.Handler watched = (request, reply) -> watch(() -> handler.handle(request, reply));
+        new Server(loop, watched, new EventLoopTimers(loop), limits, () -> {}).listen(HOST + ":" + port);
+        return port;
+    }
+
+    private void tick() {
+        long nowNanos = System.nanoTime();
+        long micros = (nowNanos - tickedNanos) / 1_000;
+        tickedNanos += micros * 1_000;
+        watch(() -> time.pass(micros));
+        watch(rules::checkCancelled);
+    }
+
+    private void watch(Runnable work) {
+        try {
+            work.run();
+        } catch (AssertionError broken) {
+            failure = failure == null ? broken : failure;
+        } catch (RuntimeException unexpected) {
+            failure = failure == null ? new AssertionError("a stand-in failed", unexpected) : failure;
+        }
+    }
+
+    /** Fails with the first rule that broke, if any did. */
+    public void throwFailure() {
+        if (failure != null) {
+            throw failure;
+        }
+    }
+
+    /** Runs on the stand-ins' event loop and hands back what came of it. */
+    public <T> T on(Supplier<T> work) throws Exception {
+        return CompletableFuture.supplyAsync(work, loop).get(30, TimeUnit.SECONDS);
+    }
+
+    /** Runs on the stand-ins' event loop; a rule that breaks there is kept. */
+    public void tell(Runnable work) {
+        loop.execute(() -> watch(work));
+    }
+
+    private void machineUp(FakeCloud.Rented rented) {
+        WorkerAddress address = freeAddresses.poll();
+        if (address == null) {
+            return;
+        }
+        Map<String, String> addressByName = new LinkedHashMap<>();
+        apiPorts.forEach((name, port) -> addressByName.put(name, HOST + ":" + port));
+        FakeWorker worker = new FakeWorker(
+                time,
+                new NettyCaller(loop, () -> 1),
+                new ArrayList<>(addressByName.values()),
+                addressByName,
+                rented,
+                address.address,
+                rules,
+                REPORT_MICROS,
+                LEASE_MICROS);
+        address.handler = worker;
+        addresses.put(rented.name(), address);
+        workers.put(rented.name(), worker);
+    }
+
+    private void machineGone(String name) {
+        FakeWorker worker = workers.remove(name);
+        if (worker != null) {
+            worker.die();
+            freeAddresses.add(addresses.remove(name));
+        }
+    }
+
+    // Controllers
+
+    /** The names of all controllers. */
+    public List<String> names() {
+        return List.copyOf(apiPorts.keySet());
+    }
+
+    /** Where users reach a controller. */
+    public String api(String name) {
+        return HOST + ":" + apiPorts.get(name);
+    }
+
+    /** Starts a controller as a process of its own. */
+    public void start(String name) throws IOException {
+        List<String> command = DeployedProgram.command(word -> word);
+        command.add(settingsFile(name).toString());
+        command.addAll(options);
+        processes.put(
+                name,
+                new ProcessBuilder(command)
+                        .redirectErrorStream(true)
+                        .redirectOutput(ProcessBuilder.Redirect.appendTo(
+                                directory.resolve(name + ".log").toFile()))
+                        .start());
+    }
+
+    /** Ends a controller's process without a word. */
+    public void kill(String name) throws InterruptedException {
+        processes.get(name).destroyForcibly().waitFor();
+    }
+
+    /** Lets a controller's process stand still, or go on. */
+    public void freeze(String name, boolean frozen) throws Exception {
+        String signal = frozen ? "-STOP" : "-CONT";
+        new ProcessBuilder("kill", signal, String.valueOf(processes.get(name).pid()))
+                .start()
+                .waitFor();
+    }
+
+    /** The controller that leads by the records, or null. */
+    public String leader() throws Exception {
+        return on(() -> {
+            Map<String, Object> leader = state.value("leader");
+            return leader == null ? null : (String) leader.get("name");
+        });
+    }
+
+    /** The settings of a controller, as the platform hands them over. */
+    public Path settingsFile(String name) throws IOException {
+        StringBuilder text = new StringBuilder();
+        text.append("host_name = \"").append(name).append("\"\nsite = \"a\"\n");
+        text.append("api_addr = \"").append(api(name)).append("\"\n");
+        text.append("back = \"").append(HOST + ":" + peerPorts.get(name)).append("\"\n");
+        peerPorts.forEach((other, port) -> {
+            if (!other.equals(name)) {
+                text.append("[[known]]\nhost_name = \"").append(other).append("\"\nsite = \"a\"\n");
+                text.append("address = \"").append(HOST + ":" + port).append("\"\n");
+            }
+        });
+        text.append("[endpoints]\ncloud = \"").append(HOST + ":" + cloudPort);
+        text.append("\"\nstate = \"").append(HOST + ":" + statePort).append("\"\n");
+        text.append("[deployment]\nzones = [\"a\", \"b\"]\n");
+        for (Settings.Team team : teams) {
+            text.append("[[deployment.teams]]\nname = \"").append(team.name()).append("\"\n");
+            text.append("cpus = ").append(team.cpus()).append("\ncpus_max = ").append(team.cpusMax());
+            text.append("\ngpus = 0.0\ngpus_max = 0.0\n");
+        }
+        text.append(
+                """
+                [deployment.workers]
+                report_s = 1.0
+                lease_s = 10.0
+                gang_wait_s = 40.0
+                gang_peer_s = 4.0
+                cancel_s = 35.0
+                [deployment.state]
+                rps = 2000.0
+                write_rps = 500.0
+                value_kb = 32.0
+                txn_ops = 16
+                [deployment.cloud]
+                rps = 10.0
+                list_lag_s = 2.0
+                [deployment.quota]
+                max_sockets = 500
+                """);
+        return Files.writeString(directory.resolve(name + ".toml"), text);
+    }
+
+    public FakeState state() {
+        return state;
+    }
+
+    public ClusterRules rules() {
+        return rules;
+    }
+
+    /** Ends all processes and stand-ins. */
+    public void close() throws InterruptedException {
+        for (Process process : processes.values()) {
+            process.destroyForcibly().waitFor();
+        }
+        loop.parent().shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).sync();
+    }
+}
