--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/RecordReader.java
@@ -0,0 +1,309 @@
+package org.weldcourse.admission;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.weldcourse.jobs.JobCodec;
+import org.weldcourse.jobs.JobSpec;
+import org.weldcourse.jobs.Keys;
+import org.weldcourse.jobs.SliceCodec;
+import org.weldcourse.runtime.Clock;
+import org.weldcourse.runtime.Timers;
+import org.weldcourse.store.Store;
+import org.weldcourse.store.Store.Outcome;
+
+/** Reads a leader's records: all of them when it is elected, and what changes of open jobs from then on. */
+final class RecordReader {
+    private static final Logger LOG = LoggerFactory.getLogger(RecordReader.class);
+    private static final long RETRY_MICROS = 300_000;
+    /** Each watch that comes back shows that nothing is missing up to its sending, so they are short: see RenewalBound. */
+    private static final long WATCH_MICROS = 1_000_000;
+
+    private final Store store;
+    private final Clock clock;
+    private final Timers timers;
+    private final ClusterState cluster;
+    private final TeamLimits limits;
+    private final Recorder recorder;
+    private final RenewalBound renewals;
+    private final Listener listener;
+    /** Open jobs whose own record can't be read: what else is on record of them is left as it is. */
+    private final Set<String> unreadable = new HashSet<>();
+
+    /** The records of open jobs were read up to this revision. */
+    private long openRevision;
+
+    private boolean readingChanges;
+    private boolean ended;
+
+    /** What the term is told. */
+    interface Listener {
+        /** All records were read, so many besides those of open jobs. */
+        void loaded(int records);
+
+        /** An open job became known. */
+        void jobSeen(JobSpec job);
+
+        /** Something was read that the next cycle may act on. */
+        void jobsChanged();
+    }
+
+    RecordReader(
+            Store store,
+            Clock clock,
+            Timers timers,
+            ClusterState cluster,
+            TeamLimits limits,
+            Recorder recorder,
+            RenewalBound renewals,
+            Listener listener) {
+        this.store = store;
+        this.clock = clock;
+        this.timers = timers;
+        this.cluster = cluster;
+        this.limits = limits;
+        this.recorder = recorder;
+        this.renewals = renewals;
+        this.listener = listener;
+    }
+
+    /** Nothing that is still under way counts any more. */
+    void end() {
+        ended = true;
+    }
+
+    /** The open jobs first: what they show to be cancelled is all that answers to workers need for a start. */
+    void load() {
+        if (ended) {
+            return;
+        }
+        long sentMicros = clock.nowMicros();
+        store.list(Keys.OPEN, open -> {
+            if (ended) {
+                return;
+            }
+            if (open.outcome() != Outcome.OK) {
+                timers.after(RETRY_MICROS, this::load);
+                return;
+            }
+            openRead(open, sentMicros);
+            watch(open.revision());
+            loadRecords();
+        });
+    }
+
+    private void loadRecords() {
+        if (ended) {
+            return;
+        }
+        store.list(
+                Keys.SLICES,
+                slices -> store.list(Keys.DONE_TASKS, done -> {
+                    if (ended) {
+                        return;
+                    }
+                    if (slices.outcome() != Outcome.OK || done.outcome() != Outcome.OK) {
+                        timers.after(RETRY_MICROS, this::loadRecords);
+                        return;
+                    }
+                    restore(slices.entries(), done.entries());
+                    listener.loaded(slices.entries().size() + done.entries().size());
+                }));
+    }
+
+    private void openRead(Store.Listing open, long sentMicros) {
+        for (Store.Entry entry : open.entries()) {
+            jobWritten(entry.key(), entry.value(), entry.version());
+        }
+        renewals.allReadAsOf(sentMicros);
+        readUpTo(open.revision());
+    }
+
+    private void readUpTo(long revision) {
+        openRevision = Math.max(openRevision, revision);
+        limits.readUpTo(revision);
+    }
+
+    /** Reads what changed of the open jobs at once, beside the watch that is under way. */
+    void readChanges() {
+        if (ended || readingChanges || openRevision == 0) {
+            return;
+        }
+        readingChanges = true;
+        long sentMicros = clock.nowMicros();
+        store.changes(Keys.OPEN, openRevision, events -> {
+            readingChanges = false;
+            if (!ended && events.outcome() == Outcome.OK) {
+                changesRead(events, sentMicros);
+                listener.jobsChanged();
+            }
+        });
+    }
+
+    private void changesRead(Store.Events events, long sentMicros) {
+        for (Store.Event event : events.events()) {
+            if (event.value() != null) {
+                jobWritten(event.key(), event.value(), event.version());
+            }
+        }
+        renewals.allReadAsOf(sentMicros);
+        readUpTo(events.revision());
+    }
+
+    private void restore(List<Store.Entry> slices, List<Store.Entry> done) {
+        long nowMicros = clock.nowMicros();
+        List<String> orphans = new ArrayList<>();
+        List<Store.Entry> records = new ArrayList<>(slices);
+        records.addAll(done);
+        for (Store.Entry entry : records) {
+            String id = Keys.jobOf(entry.key());
+            Job job = cluster.jobs.get(id);
+            if (job != null) {
+                restore(job, entry, () -> recorder.restore(job, entry));
+            } else if (!unreadable.contains(id)) {
+                orphans.add(entry.key());
+            }
+        }
+        for (Store.Entry entry : slices) {
+            Job job = cluster.jobs.get(Keys.jobOf(entry.key()));
+            if (job != null) {
+                restore(
+                        job,
+                        entry,
+                        () -> SliceCodec.visit(entry.value(), (machineName, attempt, first, last) -> {
+                            for (int task = first; task <= last && task < job.spec.tasks(); task++) {
+                                restore(job, task, attempt, machineName, entry.key(), nowMicros);
+                            }
+                        }));
+            }
+        }
+        recorder.sweep(orphans);
+    }
+
+    /** Where a record can't be read, nobody knows what runs where: the job stays known, and nothing is decided about it. */
+    private static void restore(Job job, Store.Entry entry, Runnable read) {
+        try {
+            read.run();
+        } catch (RuntimeException unreadable) {
+            LOG.error("{}: can't be read, so that nothing is done for its job: {}", entry.key(), unreadable.toString());
+            job.stale = true;
+        }
+    }
+
+    /** A task may stand in several records; the last of its admissions is the one that counts. */
+    private void restore(Job job, int task, int attempt, String machineName, String record, long nowMicros) {
+        job.lastAttempt = Math.max(job.lastAttempt, attempt);
+        Booking earlier = job.bookings.get(task);
+        if (job.done.get(task) || earlier != null && earlier.attempt >= attempt) {
+            return;
+        }
+        if (earlier != null) {
+            cluster.drop(earlier);
+        }
+        Booking booking = cluster.book(job, task, attempt, cluster.machine(machineName, nowMicros), nowMicros);
+        booking.persisted = true;
+        booking.record = record;
+    }
+
+    private void watch(long revision) {
+        long sentMicros = clock.nowMicros();
+        store.watch(Keys.OPEN, revision, WATCH_MICROS, events -> {
+            if (ended) {
+                return;
+            }
+            if (events.outcome() == Outcome.OK) {
+                changesRead(events, sentMicros);
+                if (!events.events().isEmpty()) {
+                    listener.jobsChanged();
+                }
+                watch(Math.max(revision, events.revision()));
+            } else if (events.outcome() == Outcome.NO) {
+                readAgain();
+            } else {
+                timers.after(events.outcome() == Outcome.UNKNOWN ? 0 : RETRY_MICROS, () -> watch(revision));
+            }
+        });
+    }
+
+    /** The watch fell too far behind: read all open jobs once more. */
+    private void readAgain() {
+        if (ended) {
+            return;
+        }
+        long sentMicros = clock.nowMicros();
+        store.list(Keys.OPEN, open -> {
+            if (open.outcome() != Outcome.OK) {
+                timers.after(RETRY_MICROS, this::readAgain);
+                return;
+            }
+            openRead(open, sentMicros);
+            listener.jobsChanged();
+            watch(open.revision());
+        });
+    }
+
+    /**
+     * A write was refused because the job's record is not what it was. The watch may lag, or may have told of a job
+     * that is over by now: without reading it again the same write would be tried for ever.
+     */
+    void refresh(Job job) {
+        if (job.stale || job.closed) {
+            return;
+        }
+        job.stale = true;
+        readJob(job);
+    }
+
+    private void readJob(Job job) {
+        if (ended) {
+            return;
+        }
+        String key = Keys.open(job.spec.id());
+        store.get(key, read -> {
+            if (read.outcome() == Outcome.OK) {
+                jobWritten(key, read.entry().value(), read.entry().version());
+                recorder.refresh(job, () -> {
+                    job.stale = false;
+                    listener.jobsChanged();
+                });
+                return;
+            } else if (read.outcome() == Outcome.NO) {
+                LOG.info("{}: over already", job.spec.id());
+                job.closed = true;
+                cluster.evict(job, 0);
+            } else {
+                timers.after(RETRY_MICROS, () -> readJob(job));
+                return;
+            }
+            job.stale = false;
+            listener.jobsChanged();
+        });
+    }
+
+    private void jobWritten(String key, Map<String, Object> value, long version) {
+        String id = Keys.jobOf(key);
+        Job job = cluster.jobs.get(id);
+        if (job == null) {
+            try {
+                JobSpec spec = JobCodec.spec(value);
+                long ageMicros = Math.max(0, clock.wallMicros() - JobCodec.acceptedWallMicros(value));
+                job = new Job(spec, version, clock.nowMicros() - ageMicros);
+            } catch (JobCodec.Malformed malformed) {
+                LOG.error("{}: its record can't be read: {}", id, malformed.getMessage());
+                unreadable.add(id);
+                return;
+            }
+            cluster.jobs.put(id, job);
+            listener.jobSeen(job.spec);
+            limits.jobSeen(job, value);
+        }
+        if (version >= job.version && !job.closed) {
+            job.version = version;
+            job.cancelled |= JobCodec.isCancelled(value);
+        }
+    }
+}
--- a/src/main/java/org/weldcourse/admission/RecordedLimits.java
+++ b/src/main/java/org/weldcourse/admission/RecordedLimits.java
@@ -66,9 +66,13 @@
         this.ledger = ledger;
         this.office = office;
         this.budgets = new BudgetKeeper(settings, ledger, book, planner, recorder, timers, office::limitsChanged);
+        accounts = account();
+    }
+
+    @Override
+    public void begin() {
         ledger.onChange(onLedgerChange);
         takeOverLedger();
-        accounts = account();
         readLedger();
     }
 
--- a/src/main/java/org/weldcourse/admission/SettingsLimits.java
+++ b/src/main/java/org/weldcourse/admission/SettingsLimits.java
@@ -32,6 +32,9 @@
         return teams;
     }
 
+    @Override
+    public void begin() {}
+
     @Override
     public int coveredTasks(Job job) {
         return 0;
--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/TaskStops.java
@@ -0,0 +1,62 @@
+package org.weldcourse.admission;
+
+import java.util.ArrayList;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+
+/** Asks for the end of tasks that did not start in time, whose machine is taken back, or that make room. */
+final class TaskStops {
+    private static final Logger LOG = LoggerFactory.getLogger(TaskStops.class);
+
+    private final ClusterState cluster;
+    private final long gangWaitMicros;
+
+    TaskStops(ClusterState cluster, long gangWaitMicros) {
+        this.cluster = cluster;
+        this.gangWaitMicros = gangWaitMicros;
+    }
+
+    /** A gang that is not running whole within the wait that covers its fetches is evicted and queued again. */
+    void checkStart(Job job, long nowMicros) {
+        long waitMicros = gangWaitMicros;
+        for (Booking booking : job.bookings.values()) {
+            double rate = booking.machine.type == null ? 0.1 : booking.machine.type.fetchGbPerSecond();
+            long fetchMicros = Math.round(job.spec.imageGb() / Math.max(0.01, rate) * 2e6);
+            boolean late = nowMicros - booking.bookedMicros > waitMicros + fetchMicros + 15_000_000;
+            if (late && !booking.running() && !booking.stop) {
+                LOG.info(
+                        "{} attempt {} did not start in time on {}",
+                        booking.name,
+                        booking.attempt,
+                        booking.machine.name);
+                cluster.evict(job, job.spec.saveMicros());
+                return;
+            }
+        }
+    }
+
+    /** Before the cloud takes a machine back, tasks that won't finish there save what they can and leave. */
+    void drain(Machine machine, long nowMicros) {
+        if (machine.takenBackAtMicros == Long.MAX_VALUE) {
+            return;
+        }
+        for (Booking booking : new ArrayList<>(machine.bookings.values())) {
+            if (booking.stop) {
+                continue;
+            }
+            if (nowMicros + cluster.runTimes.leftMicros(booking, nowMicros) < machine.takenBackAtMicros) {
+                continue;
+            }
+            stop(booking);
+        }
+    }
+
+    void stop(Booking booking) {
+        long graceMicros = booking.job.spec.checkpointMicros() > 0 ? booking.job.spec.saveMicros() + 1_000_000 : 0;
+        if (booking.job.spec.gang()) {
+            cluster.evict(booking.job, graceMicros);
+        } else {
+            booking.requestStop(graceMicros);
+        }
+    }
+}
--- a/src/main/java/org/weldcourse/admission/TeamLimits.java
+++ b/src/main/java/org/weldcourse/admission/TeamLimits.java
@@ -7,6 +7,9 @@
 
 /** Where a leader takes the teams' limits from, and what has to hold for an admission to be written. */
 interface TeamLimits {
+    /** The term begins. */
+    void begin();
+
     /** Each team's limit and what counts against it, for the cycle that begins. */
     List<TeamView> views(long nowMicros);
 
--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -1,11 +1,9 @@
 package org.weldcourse.admission;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.weldcourse.fleet.Cloud;
@@ -14,10 +12,7 @@
 import org.weldcourse.fleet.MachineTypesTask;
 import org.weldcourse.http.Caller;
 import org.weldcourse.http.Server.Reply;
-import org.weldcourse.jobs.JobCodec;
 import org.weldcourse.jobs.JobSpec;
-import org.weldcourse.jobs.Keys;
-import org.weldcourse.jobs.SliceCodec;
 import org.weldcourse.leadership.Leadership;
 import org.weldcourse.quota.BudgetPlanner;
 import org.weldcourse.quota.LimitLedger;
@@ -27,10 +22,8 @@
 import org.weldcourse.settings.Settings;
 import org.weldcourse.settings.Tuning;
 import org.weldcourse.store.Store;
-import org.weldcourse.store.Store.Outcome;
 import org.weldcourse.store.Transaction;
 import org.weldcourse.workers.CheckinCodec;
-import org.weldcourse.workers.Order;
 import org.weldcourse.workers.Reconciler;
 import org.weldcourse.workers.Report;
 
@@ -45,11 +38,6 @@
     /** What a cycle leaves to check-ins and users before the next one, for each machine and job that it looks at. */
     private static final long PAUSE_EACH_MICROS = 200;
 
-    private static final long RETRY_MICROS = 300_000;
-    /** Each watch that comes back shows that nothing is missing up to its sending, so they are short: see RenewalBound. */
-    private static final long WATCH_MICROS = 1_000_000;
-
-    private static final long DIRECT_TIMEOUT_MICROS = 2_000_000;
     /** How far ahead arrays are booked, in reports: about the time until a machine could be told otherwise. */
     private static final double AHEAD_REPORTS = 0.75;
     /** Cycles that begin this late show that the processor does not keep up. */
@@ -68,18 +56,14 @@
     private final int mostTasksPerAdmission;
     private final long startedMicros;
     private final RenewalBound renewals;
-    /** Open jobs whose own record can't be read: what else is on record of them is left as it is. */
-    private final Set<String> unreadable = new HashSet<>();
+    private final RecordReader reader;
+    private final DirectOrders directOrders;
+    private final TaskStops stops;
 
     private boolean loaded;
-    /** The records of open jobs were read up to this revision. */
-    private long openRevision;
-
-    private boolean readingChanges;
     private long nextStatusMicros;
     private long earliestCycleMicros;
     private int waitingByQuota;
-    private int directInFlight;
 
     /** What a term works with; all of it outlives the term. */
     public record Parts(
@@ -114,37 +98,7 @@
         this.mostTasksPerAdmission =
                 Recorder.mostTasksPerAdmission(parts.settings().state());
         this.recorder = new Recorder(
-                parts.store(),
-                parts.clock(),
-                parts.timers(),
-                parts.settings().state(),
-                epochVersion,
-                new Recorder.Events() {
-                    @Override
-                    public void recorded(Job job) {
-                        soon();
-                    }
-
-                    @Override
-                    public void stale(Job job) {
-                        refresh(job);
-                    }
-
-                    @Override
-                    public void outdated() {
-                        parts.leadership().doubt();
-                    }
-
-                    @Override
-                    public void guardAdmission(Transaction admission, Job job) {
-                        limits.guard(admission, job);
-                    }
-
-                    @Override
-                    public void conditionFailed(Job job, List<Object> keys) {
-                        limits.conditionFailed(job, keys);
-                    }
-                });
+                parts.store(), parts.clock(), parts.timers(), parts.settings().state(), epochVersion, new Recording());
         this.limits = parts.recordedLimits()
                 .map(recorded -> recordedLimits(recorded, epochVersion))
                 .orElseGet(() -> new SettingsLimits(cluster, parts.settings()));
@@ -160,24 +114,85 @@
                 token,
                 parts.clock(),
                 parts.timers(),
-                new MachinePool.Office() {
-                    @Override
-                    public boolean holds() {
-                        return parts.leadership().leaseHolds();
-                    }
-
-                    @Override
-                    public void machinesGone() {
-                        soon();
-                    }
-                });
+                new FleetOffice());
+        this.stops = new TaskStops(cluster, parts.settings().workers().gangWaitMicros());
+        this.directOrders = new DirectOrders(
+                cluster, reconciler, parts.caller(), token, parts.settings().directSockets());
+        this.reader = new RecordReader(
+                parts.store(), parts.clock(), parts.timers(), cluster, limits, recorder, renewals, new Reading());
+    }
+
+    /** Takes note of what became of writes. */
+    private final class Recording implements Recorder.Events {
+        @Override
+        public void recorded(Job job) {
+            soon();
+        }
+
+        @Override
+        public void stale(Job job) {
+            reader.refresh(job);
+        }
+
+        @Override
+        public void outdated() {
+            parts.leadership().doubt();
+        }
+
+        @Override
+        public void guardAdmission(Transaction admission, Job job) {
+            limits.guard(admission, job);
+        }
+
+        @Override
+        public void conditionFailed(Job job, List<Object> keys) {
+            limits.conditionFailed(job, keys);
+        }
+    }
+
+    /** Tells the fleet whether this node may act, and hears of machines that are gone. */
+    private final class FleetOffice implements MachinePool.Office {
+        @Override
+        public boolean holds() {
+            return parts.leadership().leaseHolds();
+        }
+
+        @Override
+        public void machinesGone() {
+            soon();
+        }
+    }
+
+    /** Takes note of what is read of the records. */
+    private final class Reading implements RecordReader.Listener {
+        @Override
+        public void loaded(int records) {
+            loaded = true;
+            LOG.info(
+                    "token {}: took over {} open jobs, {} records, {} ms after its election",
+                    token,
+                    cluster.jobs.size(),
+                    records,
+                    (clock.nowMicros() - startedMicros) / 1000);
+            wakeIn(0);
+        }
+
+        @Override
+        public void jobSeen(JobSpec job) {
+            fleet.jobSeen(job);
+        }
+
+        @Override
+        public void jobsChanged() {
+            soon();
+        }
     }
 
     private TeamLimits recordedLimits(RecordedTeamLimits recorded, long epochVersion) {
         RecordedLimits.Office office = new RecordedLimits.Office() {
             @Override
             public void readOpenJobs() {
-                readChanges();
+                reader.readChanges();
             }
 
             @Override
@@ -204,255 +219,19 @@
     /** Reads the records and begins to work. */
     public void begin() {
         start();
-        load();
+        limits.begin();
+        reader.load();
     }
 
     @Override
     public void cancel() {
         super.cancel();
+        reader.end();
         recorder.end();
         limits.end();
         fleet.cancel();
     }
 
-    // Reading the records
-
-    /** The open jobs first: what they show to be cancelled is all that answers to workers need for a start. */
-    private void load() {
-        if (!isRunning()) {
-            return;
-        }
-        long sentMicros = clock.nowMicros();
-        parts.store().list(Keys.OPEN, open -> {
-            if (!isRunning()) {
-                return;
-            }
-            if (open.outcome() != Outcome.OK) {
-                parts.timers().after(RETRY_MICROS, this::load);
-                return;
-            }
-            openRead(open, sentMicros);
-            watch(open.revision());
-            loadRecords();
-        });
-    }
-
-    private void loadRecords() {
-        if (!isRunning()) {
-            return;
-        }
-        parts.store().list(Keys.SLICES, slices -> parts.store().list(Keys.DONE_TASKS, done -> {
-            if (!isRunning()) {
-                return;
-            }
-            if (slices.outcome() != Outcome.OK || done.outcome() != Outcome.OK) {
-                parts.timers().after(RETRY_MICROS, this::loadRecords);
-                return;
-            }
-            restore(slices.entries(), done.entries());
-            loaded = true;
-            LOG.info(
-                    "token {}: took over {} open jobs, {} records, {} ms after its election",
-                    token,
-                    cluster.jobs.size(),
-                    slices.entries().size() + done.entries().size(),
-                    (clock.nowMicros() - startedMicros) / 1000);
-            wakeIn(0);
-        }));
-    }
-
-    private void openRead(Store.Listing open, long sentMicros) {
-        for (Store.Entry entry : open.entries()) {
-            jobWritten(entry.key(), entry.value(), entry.version());
-        }
-        renewals.allReadAsOf(sentMicros);
-        readUpTo(open.revision());
-    }
-
-    private void readUpTo(long revision) {
-        openRevision = Math.max(openRevision, revision);
-        limits.readUpTo(revision);
-    }
-
-    /** Reads what changed of the open jobs at once, beside the watch that is under way. */
-    private void readChanges() {
-        if (!isRunning() || readingChanges || openRevision == 0) {
-            return;
-        }
-        readingChanges = true;
-        long sentMicros = clock.nowMicros();
-        parts.store().changes(Keys.OPEN, openRevision, events -> {
-            readingChanges = false;
-            if (isRunning() && events.outcome() == Outcome.OK) {
-                changesRead(events, sentMicros);
-                soon();
-            }
-        });
-    }
-
-    private void changesRead(Store.Events events, long sentMicros) {
-        for (Store.Event event : events.events()) {
-            if (event.value() != null) {
-                jobWritten(event.key(), event.value(), event.version());
-            }
-        }
-        renewals.allReadAsOf(sentMicros);
-        readUpTo(events.revision());
-    }
-
-    private void restore(List<Store.Entry> slices, List<Store.Entry> done) {
-        long nowMicros = clock.nowMicros();
-        List<String> orphans = new ArrayList<>();
-        List<Store.Entry> records = new ArrayList<>(slices);
-        records.addAll(done);
-        for (Store.Entry entry : records) {
-            String id = Keys.jobOf(entry.key());
-            Job job = cluster.jobs.get(id);
-            if (job != null) {
-                restore(job, entry, () -> recorder.restore(job, entry));
-            } else if (!unreadable.contains(id)) {
-                orphans.add(entry.key());
-            }
-        }
-        for (Store.Entry entry : slices) {
-            Job job = cluster.jobs.get(Keys.jobOf(entry.key()));
-            if (job != null) {
-                restore(
-                        job,
-                        entry,
-                        () -> SliceCodec.visit(entry.value(), (machineName, attempt, first, last) -> {
-                            for (int task = first; task <= last && task < job.spec.tasks(); task++) {
-                                restore(job, task, attempt, machineName, entry.key(), nowMicros);
-                            }
-                        }));
-            }
-        }
-        recorder.sweep(orphans);
-    }
-
-    /** Where a record can't be read, nobody knows what runs where: the job stays known, and nothing is decided about it. */
-    private static void restore(Job job, Store.Entry entry, Runnable read) {
-        try {
-            read.run();
-        } catch (RuntimeException unreadable) {
-            LOG.error("{}: can't be read, so that nothing is done for its job: {}", entry.key(), unreadable.toString());
-            job.stale = true;
-        }
-    }
-
-    /** A task may stand in several records; the last of its admissions is the one that counts. */
-    private void restore(Job job, int task, int attempt, String machineName, String record, long nowMicros) {
-        job.lastAttempt = Math.max(job.lastAttempt, attempt);
-        Booking earlier = job.bookings.get(task);
-        if (job.done.get(task) || earlier != null && earlier.attempt >= attempt) {
-            return;
-        }
-        if (earlier != null) {
-            cluster.drop(earlier);
-        }
-        Booking booking = cluster.book(job, task, attempt, cluster.machine(machineName, nowMicros), nowMicros);
-        booking.persisted = true;
-        booking.record = record;
-    }
-
-    private void watch(long revision) {
-        long sentMicros = clock.nowMicros();
-        parts.store().watch(Keys.OPEN, revision, WATCH_MICROS, events -> {
-            if (!isRunning()) {
-                return;
-            }
-            if (events.outcome() == Outcome.OK) {
-                changesRead(events, sentMicros);
-                if (!events.events().isEmpty()) {
-                    soon();
-                }
-                watch(Math.max(revision, events.revision()));
-            } else if (events.outcome() == Outcome.NO) {
-                readAgain();
-            } else {
-                parts.timers().after(events.outcome() == Outcome.UNKNOWN ? 0 : RETRY_MICROS, () -> watch(revision));
-            }
-        });
-    }
-
-    /** The watch fell too far behind: read all open jobs once more. */
-    private void readAgain() {
-        if (!isRunning()) {
-            return;
-        }
-        long sentMicros = clock.nowMicros();
-        parts.store().list(Keys.OPEN, open -> {
-            if (open.outcome() != Outcome.OK) {
-                parts.timers().after(RETRY_MICROS, this::readAgain);
-                return;
-            }
-            openRead(open, sentMicros);
-            soon();
-            watch(open.revision());
-        });
-    }
-
-    /**
-     * A write was refused because the job's record is not what it was. The watch may lag, or may have told of a job
-     * that is over by now: without reading it again the same write would be tried for ever.
-     */
-    private void refresh(Job job) {
-        if (job.stale || job.closed) {
-            return;
-        }
-        job.stale = true;
-        readJob(job);
-    }
-
-    private void readJob(Job job) {
-        if (!isRunning()) {
-            return;
-        }
-        String key = Keys.open(job.spec.id());
-        parts.store().get(key, read -> {
-            if (read.outcome() == Outcome.OK) {
-                jobWritten(key, read.entry().value(), read.entry().version());
-                recorder.refresh(job, () -> {
-                    job.stale = false;
-                    soon();
-                });
-                return;
-            } else if (read.outcome() == Outcome.NO) {
-                LOG.info("{}: over already", job.spec.id());
-                job.closed = true;
-                cluster.evict(job, 0);
-            } else {
-                parts.timers().after(RETRY_MICROS, () -> readJob(job));
-                return;
-            }
-            job.stale = false;
-            soon();
-        });
-    }
-
-    private void jobWritten(String key, Map<String, Object> value, long version) {
-        String id = Keys.jobOf(key);
-        Job job = cluster.jobs.get(id);
-        if (job == null) {
-            try {
-                JobSpec spec = JobCodec.spec(value);
-                long ageMicros = Math.max(0, clock.wallMicros() - JobCodec.acceptedWallMicros(value));
-                job = new Job(spec, version, clock.nowMicros() - ageMicros);
-            } catch (JobCodec.Malformed malformed) {
-                LOG.error("{}: its record can't be read: {}", id, malformed.getMessage());
-                unreadable.add(id);
-                return;
-            }
-            cluster.jobs.put(id, job);
-            fleet.jobSeen(job.spec);
-            limits.jobSeen(job, value);
-        }
-        if (version >= job.version && !job.closed) {
-            job.version = version;
-            job.cancelled |= JobCodec.isCancelled(value);
-        }
-    }
-
     // Workers
 
     /** A worker's report. The lease that the answer renews lets work outlive a loss of the state service. */
@@ -518,59 +297,28 @@
             tend(job, nowMicros);
         }
         for (Machine machine : cluster.machines.values()) {
-            drain(machine, nowMicros);
+            stops.drain(machine, nowMicros);
         }
         if (parts.leadership().leaseHolds()) {
-            limits.overLimit().forEach(this::stop);
+            limits.overLimit().forEach(stops::stop);
             admit(nowMicros);
         }
         if (!fleet.isRunning()) {
             // Not before it is known what waits: a step that costs a new leader much would find nothing to do.
             fleet.start();
         }
-        direct();
+        directOrders.send(lateMicros() >= PRESSED_MICROS);
         earliestCycleMicros = clock.nowMicros() + PAUSE_EACH_MICROS * (cluster.machines.size() + cluster.jobs.size());
         if (nowMicros >= nextStatusMicros && !(cluster.jobs.isEmpty() && cluster.machines.isEmpty())) {
             nextStatusMicros = nowMicros + STATUS_MICROS;
-            LOG.info("token {}: {}", token, status());
+            LOG.info(
+                    "token {}: {}",
+                    token,
+                    TermStatus.of(cluster, limits, waitingByQuota, fleet.spending(), outlook.quietMicros(), nowMicros));
         }
         return IDLE_CYCLE_MICROS;
     }
 
-    /** One line for operators: how much is open, what waits and why, and where the money goes. */
-    private String status() {
-        int up = 0;
-        int quiet = 0;
-        for (Machine machine : cluster.machines.values()) {
-            up += machine.isUp() ? 1 : 0;
-            quiet += machine.isUp() && clock.nowMicros() - machine.heardMicros > outlook.quietMicros() ? 1 : 0;
-        }
-        int pending = 0;
-        int booked = 0;
-        int replicas = 0;
-        int replicasRunning = 0;
-        int replicasWaiting = 0;
-        for (Job job : cluster.jobs.values()) {
-            pending += job.pending.cardinality();
-            booked += job.bookings.size();
-            if (job.spec.service() && !job.cancelled) {
-                replicas += job.spec.tasks();
-                replicasRunning += (int)
-                        job.bookings.values().stream().filter(Booking::running).count();
-                replicasWaiting += job.pending.cardinality();
-            }
-        }
-        return cluster.jobs.size() + " jobs open, " + booked + " tasks booked, " + pending + " waiting ("
-                + waitingByQuota + " for their team's limit); "
-                + (replicas == 0
-                        ? ""
-                        : replicas + " replicas wanted, " + replicasRunning + " running, " + replicasWaiting
-                                + " waiting for a place, " + (replicas - replicasRunning - replicasWaiting)
-                                + " booked or leaving; ")
-                + limits.status() + up + " machines up, " + quiet + " silent, "
-                + (cluster.machines.size() - up) + " coming; " + fleet.spending();
-    }
-
     private void tend(Job job, long nowMicros) {
         if (job.closed) {
             cluster.jobs.remove(job.spec.id());
@@ -590,55 +338,11 @@
         } else {
             recorder.saveDone(job);
             if (job.spec.gang()) {
-                checkStart(job, nowMicros);
-            }
-        }
-    }
-
-    /** A gang that is not running whole within the wait that covers its fetches is evicted and queued again. */
-    private void checkStart(Job job, long nowMicros) {
-        long waitMicros = parts.settings().workers().gangWaitMicros();
-        for (Booking booking : job.bookings.values()) {
-            double rate = booking.machine.type == null ? 0.1 : booking.machine.type.fetchGbPerSecond();
-            long fetchMicros = Math.round(job.spec.imageGb() / Math.max(0.01, rate) * 2e6);
-            boolean late = nowMicros - booking.bookedMicros > waitMicros + fetchMicros + 15_000_000;
-            if (late && !booking.running() && !booking.stop) {
-                LOG.info(
-                        "{} attempt {} did not start in time on {}",
-                        booking.name,
-                        booking.attempt,
-                        booking.machine.name);
-                cluster.evict(job, job.spec.saveMicros());
-                return;
+                stops.checkStart(job, nowMicros);
             }
         }
     }
 
-    /** Before the cloud takes a machine back, tasks that won't finish there save what they can and leave. */
-    private void drain(Machine machine, long nowMicros) {
-        if (machine.takenBackAtMicros == Long.MAX_VALUE) {
-            return;
-        }
-        for (Booking booking : new ArrayList<>(machine.bookings.values())) {
-            if (booking.stop) {
-                continue;
-            }
-            if (nowMicros + cluster.runTimes.leftMicros(booking, nowMicros) < machine.takenBackAtMicros) {
-                continue;
-            }
-            stop(booking);
-        }
-    }
-
-    private void stop(Booking booking) {
-        long graceMicros = booking.job.spec.checkpointMicros() > 0 ? booking.job.spec.saveMicros() + 1_000_000 : 0;
-        if (booking.job.spec.gang()) {
-            cluster.evict(booking.job, graceMicros);
-        } else {
-            booking.requestStop(graceMicros);
-        }
-    }
-
     private void admit(long nowMicros) {
         Decisions decisions = Planner.decide(
                 outlook.snapshot(nowMicros, fleet::soughtBy),
@@ -649,7 +353,7 @@
             Booking booking = job == null ? null : job.bookings.get(stop.task());
             if (booking != null && !booking.stop) {
                 LOG.debug("{} attempt {} makes room on {}", booking.name, booking.attempt, booking.machine.name);
-                stop(booking);
+                stops.stop(booking);
             }
         }
         for (Decisions.Admission admission : decisions.admissions()) {
@@ -701,58 +405,4 @@
         }
         return outlook.needs(waiting);
     }
-
-    /**
-     * Halts that need not wait for the next report, and bells. A late copy of either does no harm. Everything else that
-     * a worker may forget is told with its next report: a request for it alone would cost more than the longer list.
-     */
-    private void direct() {
-        for (Machine machine : cluster.machines.values()) {
-            if (directInFlight >= parts.settings().directSockets()) {
-                // The rest of a wave is told in the next cycle, or with the machines' next reports.
-                return;
-            }
-            if (!machine.unsaid
-                    || machine.directInFlight
-                    || !machine.underToken
-                    || machine.released
-                    || machine.address == null) {
-                continue;
-            }
-            machine.unsaid = reconciler.wantsBell(machine);
-            List<Order> orders = new ArrayList<>();
-            // A bell costs a message and another report: short of time, the machine's own next report will do.
-            Order bell = machine.unsaid && lateMicros() < PRESSED_MICROS ? reconciler.bell(machine) : null;
-            if (bell != null) {
-                orders.add(bell);
-            }
-            for (Booking booking : machine.bookings.values()) {
-                if (orders.size() >= Reconciler.MOST_ORDERS) {
-                    break;
-                }
-                // What was told to run may be there before any report shows it, and none may come.
-                if (booking.stop && (booking.seen || booking.runSent) && !booking.haltSent) {
-                    booking.haltSent = true;
-                    orders.add(Order.halt(booking.name, booking.attempt, booking.graceMicros));
-                }
-            }
-            if (orders.isEmpty()) {
-                continue;
-            }
-            machine.directInFlight = true;
-            directInFlight++;
-            parts.caller()
-                    .call(
-                            new Caller.Call(
-                                    machine.address,
-                                    "POST",
-                                    "/orders",
-                                    CheckinCodec.direct(token, machine.session, orders),
-                                    DIRECT_TIMEOUT_MICROS),
-                            answer -> {
-                                machine.directInFlight = false;
-                                directInFlight--;
-                            });
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/TermStatus.java
@@ -0,0 +1,48 @@
+package org.weldcourse.admission;
+
+import org.weldcourse.fleet.Spending;
+
+/** The status line of a leader. */
+final class TermStatus {
+    private TermStatus() {}
+
+    /** One line for operators: how much is open, what waits and why, and where the money goes. */
+    static String of(
+            ClusterState cluster,
+            TeamLimits limits,
+            int waitingByQuota,
+            Spending spending,
+            long quietMicros,
+            long nowMicros) {
+        int up = 0;
+        int quiet = 0;
+        for (Machine machine : cluster.machines.values()) {
+            up += machine.isUp() ? 1 : 0;
+            quiet += machine.isUp() && nowMicros - machine.heardMicros > quietMicros ? 1 : 0;
+        }
+        int pending = 0;
+        int booked = 0;
+        int replicas = 0;
+        int replicasRunning = 0;
+        int replicasWaiting = 0;
+        for (Job job : cluster.jobs.values()) {
+            pending += job.pending.cardinality();
+            booked += job.bookings.size();
+            if (job.spec.service() && !job.cancelled) {
+                replicas += job.spec.tasks();
+                replicasRunning += (int)
+                        job.bookings.values().stream().filter(Booking::running).count();
+                replicasWaiting += job.pending.cardinality();
+            }
+        }
+        return cluster.jobs.size() + " jobs open, " + booked + " tasks booked, " + pending + " waiting ("
+                + waitingByQuota + " for their team's limit); "
+                + (replicas == 0
+                        ? ""
+                        : replicas + " replicas wanted, " + replicasRunning + " running, " + replicasWaiting
+                                + " waiting for a place, " + (replicas - replicasRunning - replicasWaiting)
+                                + " booked or leaving; ")
+                + limits.status() + up + " machines up, " + quiet + " silent, "
+                + (cluster.machines.size() - up) + " coming; " + spending;
+    }
+}
