--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/Displacement.java
@@ -0,0 +1,100 @@
+package org.weldcourse.admission;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.weldcourse.admission.Snapshot.JobView;
+import org.weldcourse.admission.Snapshot.TaskView;
+import org.weldcourse.jobs.JobSpec;
+
+/** Which tasks on a machine may be stopped for a job, and what room that makes. */
+final class Displacement {
+    private final Map<String, TeamUsage> usages;
+    private final long nowMicros;
+
+    Displacement(Map<String, TeamUsage> usages, long nowMicros) {
+        this.usages = usages;
+        this.nowMicros = nowMicros;
+    }
+
+    /** A machine's offer to a gang: so many tasks, for the work that stopping the victims would lose. */
+    record Offer(MachineRoom room, int tasks, List<TaskView> victims, double cost) {
+        double costPerTask() {
+            return cost / tasks;
+        }
+    }
+
+    /** Whether a look at the machine for work to displace could find any. */
+    boolean mayYield(JobView job, boolean reclaims, MachineRoom room) {
+        return reclaims || room.machine.load().yieldsTo(job.spec().rank());
+    }
+
+    boolean reclaims(JobView job, TeamUsage usage) {
+        return usage.withinGuarantee(
+                job.spec(), job.spec().gang() ? job.pending().cardinality() : 1);
+    }
+
+    /** What the machine offers for so many tasks, or null; {@code ownCost} is what it costs without any victim. */
+    Offer offerWithVictims(JobView job, TeamUsage usage, MachineRoom room, int tasks, double ownCost) {
+        JobSpec spec = job.spec();
+        int bestFits = room.fits(spec);
+        int chosen = 0;
+        double bestCost = ownCost;
+        List<TaskView> candidates = List.of();
+        if (bestFits < tasks) {
+            candidates = displaceable(job, usage, room);
+            double cpus = room.cpus;
+            double gpus = room.gpus;
+            double memoryGb = room.memoryGb;
+            double cost = ownCost;
+            for (int i = 0; i < candidates.size() && bestFits < tasks; i++) {
+                TaskView victim = candidates.get(i);
+                cpus += victim.job().cpus();
+                gpus += victim.job().gpus();
+                memoryGb += victim.job().memoryGb();
+                cost += victim.stopping()
+                        ? 0
+                        : (victim.lostMicros(nowMicros) / 1e6 + 1)
+                                * victim.job().cpus();
+                int fits = MachineRoom.fits(spec, cpus, gpus, memoryGb);
+                if (fits > bestFits) {
+                    bestFits = fits;
+                    chosen = i + 1;
+                    bestCost = cost;
+                }
+            }
+        }
+        return bestFits == 0 ? null : new Offer(room, bestFits, candidates.subList(0, chosen), bestCost);
+    }
+
+    /**
+     * Tasks on the machine that may be stopped for this job: what leaves anyway first, then the least work lost.
+     * What a team runs within its guarantee yields to other teams only by rank, and only to a team that claims
+     * its own guarantee; or a borrower of high rank and an owner of low rank would displace each other for ever.
+     */
+    private List<TaskView> displaceable(JobView job, TeamUsage usage, MachineRoom room) {
+        boolean reclaims = reclaims(job, usage);
+        List<TaskView> candidates = new ArrayList<>();
+        Map<TeamUsage, double[]> taken = new HashMap<>();
+        for (TaskView task : room.machine.load().tasks()) {
+            if (room.victims.contains(task) || task.job().id().equals(job.spec().id())) {
+                continue;
+            }
+            boolean ownTeam = task.job().team().equals(job.spec().team());
+            boolean lowerRank = task.job().rank().compareTo(job.spec().rank()) > 0;
+            TeamUsage other = usages.get(task.job().team());
+            double[] less = taken.computeIfAbsent(other, team -> new double[2]);
+            boolean borrowed = !ownTeam
+                    && other != null
+                    && other.borrowsWithout(
+                            less[0] + task.job().cpus(), less[1] + task.job().gpus());
+            if (task.stopping() || lowerRank && (ownTeam || borrowed || reclaims) || reclaims && borrowed) {
+                candidates.add(task);
+                less[0] += task.job().cpus();
+                less[1] += task.job().gpus();
+            }
+        }
+        return candidates;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/GangPlan.java
@@ -0,0 +1,92 @@
+package org.weldcourse.admission;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.weldcourse.admission.Displacement.Offer;
+import org.weldcourse.admission.Snapshot.JobView;
+import org.weldcourse.jobs.JobSpec;
+
+/** Where a gang's tasks would go, what has to be stopped for them, and what work that loses. */
+record GangPlan(Map<MachineRoom, Integer> counts, List<Offer> offers, double cost) {
+    /** The best places among these rooms, or null when there are too few. */
+    static GangPlan of(
+            JobView job,
+            TeamUsage usage,
+            int tasks,
+            List<MachineRoom> choice,
+            boolean displace,
+            Displacement displacement) {
+        List<Offer> offers = offers(job, usage, tasks, choice, displace, displacement);
+        return best(job.spec(), tasks, offers);
+    }
+
+    private static List<Offer> offers(
+            JobView job,
+            TeamUsage usage,
+            int tasks,
+            List<MachineRoom> choice,
+            boolean displace,
+            Displacement displacement) {
+        JobSpec spec = job.spec();
+        List<Offer> offers = new ArrayList<>();
+        boolean reclaims = displacement.reclaims(job, usage);
+        double cheapest = Double.POSITIVE_INFINITY;
+        for (MachineRoom room : choice) {
+            cheapest = Math.min(cheapest, room.pricePerCpu);
+        }
+        for (MachineRoom room : choice) {
+            double ownCost = room.machine.load().images().contains(spec.image())
+                    ? 0
+                    : spec.imageGb() / Math.max(0.01, room.machine.type().fetchGbPerSecond()) * spec.cpus();
+            if (cheapest > 0) {
+                // On a dear machine the whole run costs more; what runs there now had better go to it instead.
+                ownCost += job.expectedMicros() / 1e6 * spec.cpus() * (room.pricePerCpu / cheapest - 1);
+            }
+            if (!displace) {
+                if (room.fits(spec) > 0) {
+                    offers.add(new Offer(room, room.fits(spec), List.of(), ownCost + room.cpus * 1e-3));
+                }
+                continue;
+            }
+            if (room.fits(spec) == 0 && !displacement.mayYield(job, reclaims, room)) {
+                continue;
+            }
+            Offer offer = displacement.offerWithVictims(job, usage, room, tasks, ownCost);
+            if (offer != null) {
+                offers.add(offer);
+            }
+        }
+        return offers;
+    }
+
+    /** The offers that cost least for each task, as many as it takes. */
+    private static GangPlan best(JobSpec spec, int tasks, List<Offer> offers) {
+        offers.sort(Comparator.comparingDouble(Offer::costPerTask)
+                .thenComparing(offer -> offer.room().machine.name()));
+        Map<MachineRoom, Integer> counts = new LinkedHashMap<>();
+        Map<String, Integer> zoneCounts = new HashMap<>();
+        List<Offer> taken = new ArrayList<>();
+        double cost = 0;
+        int left = tasks;
+        for (Offer offer : offers) {
+            String zone = offer.room().machine.zone();
+            int take = Math.min(Math.min(left, offer.tasks()), spec.mostPerZone() - zoneCounts.getOrDefault(zone, 0));
+            if (take <= 0) {
+                continue;
+            }
+            counts.put(offer.room(), take);
+            zoneCounts.merge(zone, take, Integer::sum);
+            taken.add(offer);
+            cost += offer.cost();
+            left -= take;
+            if (left == 0) {
+                return new GangPlan(counts, taken, cost);
+            }
+        }
+        return null;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/GuardedCommits.java
@@ -0,0 +1,94 @@
+package org.weldcourse.admission;
+
+import org.weldcourse.runtime.Clock;
+import org.weldcourse.runtime.Timers;
+import org.weldcourse.settings.Settings;
+import org.weldcourse.store.RateLimiter;
+import org.weldcourse.store.RetryingCommit;
+import org.weldcourse.store.Store;
+import org.weldcourse.store.Store.Outcome;
+import org.weldcourse.store.Transaction;
+
+/** A leader's writes: each is guarded by the epoch of its term, and together they keep to a part of the budget of changes. */
+final class GuardedCommits {
+    /** Background writes leave this share of the budget to users and other controllers. */
+    private static final double SHARE_OF_WRITES = 0.7;
+    /** A longer burst of the leader's would leave the next submissions none of the second's worth that is allowed. */
+    private static final double BURST_SECONDS = 0.5;
+
+    private static final double LEFT_BY_BACKGROUND = 0.2;
+    private static final String EPOCH = "epoch";
+
+    private final Store store;
+    private final Timers timers;
+    private final double writesPerSecond;
+    private final long epochVersion;
+    private final RateLimiter pacer;
+    private final Runnable outdated;
+    private boolean ended;
+
+    /** What goes into a transaction besides the guard on the epoch. */
+    interface Content {
+        /** Adds conditions and changes. */
+        void addTo(Transaction txn);
+    }
+
+    /** {@code outdated} runs when a guard on the epoch failed. */
+    GuardedCommits(
+            Store store, Clock clock, Timers timers, Settings.State limits, long epochVersion, Runnable outdated) {
+        this.store = store;
+        this.timers = timers;
+        this.writesPerSecond = limits.safeWritesPerSecond();
+        this.epochVersion = epochVersion;
+        this.outdated = outdated;
+        this.pacer = new RateLimiter(
+                clock, writesPerSecond * SHARE_OF_WRITES, writesPerSecond * SHARE_OF_WRITES * BURST_SECONDS);
+    }
+
+    /** Nothing more is written, and no answer counts any more. */
+    void end() {
+        ended = true;
+    }
+
+    boolean isEnded() {
+        return ended;
+    }
+
+    /** A transaction that is carried out only while no other leader was elected. */
+    Transaction guarded() {
+        return new Transaction().guard(EPOCH, epochVersion);
+    }
+
+    /** Sends a transaction until its fate is certain. */
+    void send(Transaction txn, RetryingCommit.Done done) {
+        pacer.spend(txn.ops());
+        RetryingCommit.send(store, timers, txn, () -> !ended, (commit, unclear) -> {
+            if (commit.outcome() == Outcome.NO && commit.failed().contains(EPOCH)) {
+                outdated.run();
+                return;
+            }
+            done.accept(commit, unclear);
+        });
+    }
+
+    /** Writes something that can wait; false when the budget of changes has no room for it now. */
+    boolean writeInBackground(Content content, RetryingCommit.Done done) {
+        if (!mayWriteInBackground()) {
+            return false;
+        }
+        Transaction txn = guarded();
+        content.addTo(txn);
+        send(txn, done);
+        return true;
+    }
+
+    /** Admissions and endings come first: bookkeeping has to leave some of the budget. */
+    boolean mayWriteInBackground() {
+        return pacer.tryTakeOf(writesPerSecond * LEFT_BY_BACKGROUND);
+    }
+
+    /** How many changes the budget has room for now. */
+    int available() {
+        return pacer.available();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/JobCloser.java
@@ -0,0 +1,104 @@
+package org.weldcourse.admission;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.weldcourse.http.Json;
+import org.weldcourse.jobs.Keys;
+import org.weldcourse.runtime.Timers;
+import org.weldcourse.store.Store;
+import org.weldcourse.store.Store.Outcome;
+import org.weldcourse.store.Transaction;
+
+/** Moves jobs that are over to their final records, and deletes what else is on record of them in quieter times. */
+final class JobCloser {
+    private static final Logger LOG = LoggerFactory.getLogger(JobCloser.class);
+    private static final long SWEEP_AGAIN_MICROS = 1_000_000;
+
+    private final Store store;
+    private final Timers timers;
+    private final GuardedCommits commits;
+    private final int txnOps;
+    private final Recorder.Events events;
+
+    JobCloser(Store store, Timers timers, GuardedCommits commits, int txnOps, Recorder.Events events) {
+        this.store = store;
+        this.timers = timers;
+        this.commits = commits;
+        this.txnOps = txnOps;
+        this.events = events;
+    }
+
+    /** Moves a job that is over to its final record; the rest of its records follow in their own time. */
+    void close(Job job) {
+        if (job.closing || job.closed || job.recording) {
+            return;
+        }
+        job.closing = true;
+        String id = job.spec.id();
+        String state = job.cancelled ? "cancelled" : "done";
+        Transaction txn = commits.guarded()
+                .guard(Keys.open(id), job.version)
+                .delete(Keys.open(id))
+                .put(Keys.done(id), Json.of("heat", state, "done", job.done.cardinality()));
+        // Bookkeeping is left for quieter times.
+        List<String> rest = new ArrayList<>(job.records.keySet());
+        commits.send(txn, (commit, unclear) -> {
+            if (commit.outcome() == Outcome.OK) {
+                closed(job, state, rest);
+            } else if (commit.outcome() == Outcome.BAD) {
+                LOG.error("{}: the state service calls its end malformed", id);
+                timers.after(Recorder.MALFORMED_PAUSE_MICROS, () -> confirmClosed(job, state, rest));
+            } else if (unclear) {
+                confirmClosed(job, state, rest);
+            } else {
+                job.closing = false;
+                events.stale(job);
+            }
+        });
+    }
+
+    private void confirmClosed(Job job, String state, List<String> rest) {
+        if (commits.isEnded()) {
+            return;
+        }
+        store.get(Keys.done(job.spec.id()), read -> {
+            if (commits.isEnded()) {
+                return;
+            }
+            if (read.outcome() == Outcome.OK) {
+                closed(job, state, rest);
+            } else if (read.outcome() == Outcome.NO) {
+                job.closing = false;
+                events.stale(job);
+            } else {
+                timers.after(Recorder.READ_AGAIN_MICROS, () -> confirmClosed(job, state, rest));
+            }
+        });
+    }
+
+    private void closed(Job job, String state, List<String> rest) {
+        LOG.info("{} is {}", job.spec.id(), state);
+        job.closed = true;
+        job.closing = false;
+        sweep(rest);
+        events.recorded(job);
+    }
+
+    /** Deletes records that no open job needs any more. */
+    void sweep(List<String> keys) {
+        if (keys.isEmpty() || commits.isEnded()) {
+            return;
+        }
+        if (!commits.mayWriteInBackground()) {
+            timers.after(SWEEP_AGAIN_MICROS, () -> sweep(keys));
+            return;
+        }
+        int some = Math.min(keys.size(), Math.max(1, txnOps / 2));
+        Transaction txn = commits.guarded();
+        keys.subList(0, some).forEach(txn::delete);
+        List<String> rest = new ArrayList<>(keys.subList(some, keys.size()));
+        commits.send(txn, (commit, unclear) -> sweep(rest));
+    }
+}
--- a/src/main/java/org/weldcourse/admission/Planner.java
+++ b/src/main/java/org/weldcourse/admission/Planner.java
@@ -26,13 +26,6 @@
  */
 public final class Planner {
     private static final double EPSILON = MachineType.EPSILON;
-    /** How long after its acceptance machines are held for a gang, and the pause until they are held again. */
-    private static final long HOLD_MICROS = 225_000_000;
-
-    private static final long HOLD_PAUSE_MICROS = 60_000_000;
-    /** From here on a gang's machines are held even before there are enough of them. */
-    private static final long HOLD_FEWER_MICROS = 45_000_000;
-
     private static final String ANYWHERE = "";
 
     private final List<MachineRoom> rooms = new ArrayList<>();
@@ -42,18 +35,20 @@
     private final List<Decisions.Waiting> waiting = new ArrayList<>();
     private final Set<String> held = new HashSet<>();
     /** The smallest gangs of their shape that found no places in this cycle. */
-    private final Map<Shape, Integer> unplaceable = new HashMap<>();
+    private final Map<GangShape, Integer> unplaceable = new HashMap<>();
     /** Arrays that found all room taken, by kind: their like that need as much or more find none in this cycle either. */
     private final Map<Kind, List<JobSpec>> withoutRoom = new HashMap<>();
-    /** The shapes for which every machine is held already: in a burst hundreds of gangs need not look at each. */
-    private final Set<Shape> exhausted = new HashSet<>();
 
     private final Bounds bounds;
     private final long nowMicros;
+    private final Displacement displacement;
+    private final GangHolds holds;
 
     private Planner(Snapshot snapshot, Bounds bounds) {
         this.bounds = bounds;
         this.nowMicros = snapshot.nowMicros();
+        this.displacement = new Displacement(usages, nowMicros);
+        this.holds = new GangHolds(displacement, held, nowMicros);
         for (MachineView machine : snapshot.machines()) {
             rooms.add(new MachineRoom(machine, nowMicros + bounds.aheadMicros, nowMicros));
         }
@@ -172,7 +167,7 @@
                 open.add(room);
             }
         }
-        sort(open, spec);
+        RoomPreference.sort(open, spec);
         Map<MachineRoom, Integer> counts = new LinkedHashMap<>();
         int left = most;
         int keptBack = 0;
@@ -206,9 +201,9 @@
         }
         boolean roomIsGone = left > keptBack;
         if (left > 0) {
-            boolean reclaims = reclaims(job, usage);
-            allowed.removeIf(room -> !mayYield(job, reclaims, room));
-            sort(allowed, spec);
+            boolean reclaims = displacement.reclaims(job, usage);
+            allowed.removeIf(room -> !displacement.mayYield(job, reclaims, room));
+            RoomPreference.sort(allowed, spec);
             left -= displaceForArray(job, usage, allowed, onlyZone, zoneCounts, left);
         }
         if (left > 0
@@ -232,47 +227,6 @@
         return a.cpus() <= b.cpus() && a.gpus() <= b.gpus() && a.memoryGb() <= b.memoryGb();
     }
 
-    private static void sort(List<MachineRoom> rooms, JobSpec spec) {
-        if (spec.service()) {
-            ReplicaPlacement.sort(rooms, spec);
-        } else {
-            sortByPreference(rooms, spec);
-        }
-    }
-
-    private static void sortByPreference(List<MachineRoom> rooms, JobSpec spec) {
-        for (MachineRoom room : rooms) {
-            room.sought =
-                    room.machine.soughtBy() != null && room.machine.soughtBy().compareTo(spec.rank()) < 0;
-            room.holdsImage = room.machine.load().images().contains(spec.image());
-        }
-        rooms.sort(Planner::comparePreference);
-    }
-
-    private static int comparePreference(MachineRoom a, MachineRoom b) {
-        if (a.priceStep != b.priceStep) {
-            return Integer.compare(a.priceStep, b.priceStep);
-        }
-        if (a.sought != b.sought) {
-            return Boolean.compare(a.sought, b.sought);
-        }
-        if (a.holdsImage != b.holdsImage) {
-            return Boolean.compare(b.holdsImage, a.holdsImage);
-        }
-        int byCpus = Double.compare(a.cpus, b.cpus);
-        return byCpus != 0 ? byCpus : a.machine.name().compareTo(b.machine.name());
-    }
-
-    /** Whether a look at the machine for work to displace could find any. */
-    private boolean mayYield(JobView job, boolean reclaims, MachineRoom room) {
-        return reclaims || room.machine.load().yieldsTo(job.spec().rank());
-    }
-
-    private boolean reclaims(JobView job, TeamUsage usage) {
-        return usage.withinGuarantee(
-                job.spec(), job.spec().gang() ? job.pending().cardinality() : 1);
-    }
-
     /** Books over what may be displaced: the victims are stopped, and the tasks run once those have left. */
     private int displaceForArray(
             JobView job,
@@ -292,11 +246,11 @@
             // First what the team may claim as its own; beyond that only rank counts.
             int claim = usage.underGuarantee(job.spec());
             int wish = claim > 0 ? Math.min(claim, most) : most;
-            Offer offer = offerWithVictims(job, usage, room, wish, 0);
+            Displacement.Offer offer = displacement.offerWithVictims(job, usage, room, wish, 0);
             if (offer != null) {
-                int take = Math.min(wish, offer.tasks);
+                int take = Math.min(wish, offer.tasks());
                 usage.take(job.spec(), take);
-                offer.victims.forEach(victim -> stop(room, victim));
+                offer.victims().forEach(victim -> stop(room, victim));
                 counts.put(room, take);
                 zoneCounts.merge(zone, take, Integer::sum);
                 left -= take;
@@ -322,7 +276,7 @@
     }
 
     private boolean placeGang(JobView job, TeamUsage usage, int tasks) {
-        Shape shape = new Shape(job.spec());
+        GangShape shape = new GangShape(job.spec());
         if (job.badMachines().isEmpty() && tasks >= unplaceable.getOrDefault(shape, Integer.MAX_VALUE)) {
             return false;
         }
@@ -330,16 +284,16 @@
         for (boolean displace : new boolean[] {false, true}) {
             GangPlan best = null;
             for (List<MachineRoom> choice : choices) {
-                GangPlan plan = planGang(job, usage, tasks, choice, displace);
-                if (plan != null && (best == null || plan.cost < best.cost)) {
+                GangPlan plan = GangPlan.of(job, usage, tasks, choice, displace, displacement);
+                if (plan != null && (best == null || plan.cost() < best.cost())) {
                     best = plan;
                 }
             }
             if (best != null) {
-                for (Offer offer : best.offers) {
-                    offer.victims.forEach(victim -> stop(offer.room, victim));
+                for (Displacement.Offer offer : best.offers()) {
+                    offer.victims().forEach(victim -> stop(offer.room(), victim));
                 }
-                book(job, usage, best.counts);
+                book(job, usage, best.counts());
                 return true;
             }
         }
@@ -347,31 +301,8 @@
         return false;
     }
 
-    /** What decides whether a gang finds places. When one found none, its like need not look in the same cycle. */
-    private record Shape(
-            String team,
-            JobSpec.Rank rank,
-            double cpus,
-            double gpus,
-            double memoryGb,
-            List<String> types,
-            String zone,
-            boolean oneZone,
-            boolean spread,
-            boolean spot) {
-        Shape(JobSpec spec) {
-            this(
-                    spec.team(),
-                    spec.rank(),
-                    spec.cpus(),
-                    spec.gpus(),
-                    spec.memoryGb(),
-                    spec.types(),
-                    spec.zone(),
-                    spec.oneZone(),
-                    spec.spread(),
-                    spec.spot());
-        }
+    private Map<String, Integer> gather(JobView job, TeamUsage usage, int tasks) {
+        return holds.isExhausted(job) ? new HashMap<>() : holds.gather(job, usage, tasks, choices(job));
     }
 
     /** The rooms among which a gang's tasks may be spread: by zone when it must be in one, else all together. */
@@ -387,82 +318,6 @@
         return choices;
     }
 
-    /**
-     * A gang found too few places. Those that are best for it are held, so that gangs behind it, which could do with
-     * less, don't overtake it for ever; lower ranks may use them meanwhile. The hold follows from the time of acceptance
-     * alone, so that every leader holds alike, and it pauses now and then, should the rest never be found.
-     */
-    private Map<String, Integer> gather(JobView job, TeamUsage usage, int tasks) {
-        long heldMicros = Math.floorMod(Math.max(0, nowMicros - job.acceptedMicros()), HOLD_MICROS + HOLD_PAUSE_MICROS);
-        Map<String, Integer> freeByZone = new HashMap<>();
-        Shape shape = new Shape(job.spec());
-        if (exhausted.contains(shape)) {
-            return freeByZone;
-        }
-        Map<String, List<MachineRoom>> choices = choices(job);
-        if (choices.isEmpty() && job.badMachines().isEmpty()) {
-            exhausted.add(shape);
-        }
-        boolean reclaims = reclaims(job, usage);
-        List<Gathered> best = new ArrayList<>();
-        int bestFree = -1;
-        for (List<MachineRoom> choice : choices.values()) {
-            List<Gathered> gathered = new ArrayList<>(choice.size());
-            int all = 0;
-            int most = 0;
-            for (MachineRoom room : choice) {
-                Offer offer = room.fits(job.spec()) > 0 || mayYield(job, reclaims, room)
-                        ? offerWithVictims(job, usage, room, tasks, 0)
-                        : null;
-                int places = offer == null ? 0 : offer.tasks;
-                gathered.add(new Gathered(room, places == 0, freeAtMicros(room)));
-                all += places;
-                most += room.machine.type().tasksThatFit(job.spec());
-                freeByZone.merge(room.machine.zone(), places, Integer::sum);
-            }
-            // With too few machines nothing is gained by holding them before more are rented.
-            boolean worthHolding = most >= tasks || nowMicros - job.acceptedMicros() > HOLD_FEWER_MICROS;
-            if (worthHolding && all > bestFree) {
-                bestFree = all;
-                best = gathered;
-            }
-        }
-        if (heldMicros < HOLD_MICROS) {
-            best.sort(Gathered::compareWait);
-            int places = 0;
-            for (Gathered gathered : best) {
-                MachineRoom room = gathered.room;
-                if (places >= tasks) {
-                    break;
-                }
-                room.heldFor = job.spec();
-                this.held.add(room.machine.name());
-                places += room.machine.type().tasksThatFit(job.spec());
-            }
-        }
-        return freeByZone;
-    }
-
-    /** A machine that may be held for a gang: whether it has no place yet, and when its last task should have ended. */
-    private record Gathered(MachineRoom room, boolean full, long freeAtMicros) {
-        int compareWait(Gathered other) {
-            if (full != other.full) {
-                return Boolean.compare(full, other.full);
-            }
-            int byTime = Long.compare(freeAtMicros, other.freeAtMicros);
-            return byTime != 0 ? byTime : room.machine.name().compareTo(other.room.machine.name());
-        }
-    }
-
-    /** When the last of the tasks on the machine should have ended. */
-    private long freeAtMicros(MachineRoom room) {
-        long atMicros = nowMicros;
-        for (TaskView task : room.machine.load().tasks()) {
-            atMicros = Math.max(atMicros, task.endsMicros(nowMicros));
-        }
-        return atMicros;
-    }
-
     /** Work that the holder may displace again can use the room meanwhile. */
     private boolean isHeldFrom(MachineRoom room, JobSpec job) {
         JobSpec holder = room.heldFor;
@@ -477,131 +332,6 @@
         return !yields;
     }
 
-    private record GangPlan(Map<MachineRoom, Integer> counts, List<Offer> offers, double cost) {}
-
-    /** A machine's offer to a gang: so many tasks, for the work that stopping the victims would lose. */
-    private record Offer(MachineRoom room, int tasks, List<TaskView> victims, double cost) {
-        double costPerTask() {
-            return cost / tasks;
-        }
-    }
-
-    private GangPlan planGang(JobView job, TeamUsage usage, int tasks, List<MachineRoom> choice, boolean displace) {
-        JobSpec spec = job.spec();
-        List<Offer> offers = new ArrayList<>();
-        boolean reclaims = reclaims(job, usage);
-        double cheapest = Double.POSITIVE_INFINITY;
-        for (MachineRoom room : choice) {
-            cheapest = Math.min(cheapest, room.pricePerCpu);
-        }
-        for (MachineRoom room : choice) {
-            double ownCost = room.machine.load().images().contains(spec.image())
-                    ? 0
-                    : spec.imageGb() / Math.max(0.01, room.machine.type().fetchGbPerSecond()) * spec.cpus();
-            if (cheapest > 0) {
-                // On a dear machine the whole run costs more; what runs there now had better go to it instead.
-                ownCost += job.expectedMicros() / 1e6 * spec.cpus() * (room.pricePerCpu / cheapest - 1);
-            }
-            if (!displace) {
-                if (room.fits(spec) > 0) {
-                    offers.add(new Offer(room, room.fits(spec), List.of(), ownCost + room.cpus * 1e-3));
-                }
-                continue;
-            }
-            if (room.fits(spec) == 0 && !mayYield(job, reclaims, room)) {
-                continue;
-            }
-            Offer offer = offerWithVictims(job, usage, room, tasks, ownCost);
-            if (offer != null) {
-                offers.add(offer);
-            }
-        }
-        offers.sort(Comparator.comparingDouble(Offer::costPerTask).thenComparing(offer -> offer.room.machine.name()));
-        Map<MachineRoom, Integer> counts = new LinkedHashMap<>();
-        Map<String, Integer> zoneCounts = new HashMap<>();
-        List<Offer> taken = new ArrayList<>();
-        double cost = 0;
-        int left = tasks;
-        for (Offer offer : offers) {
-            String zone = offer.room.machine.zone();
-            int take = Math.min(Math.min(left, offer.tasks), spec.mostPerZone() - zoneCounts.getOrDefault(zone, 0));
-            if (take <= 0) {
-                continue;
-            }
-            counts.put(offer.room, take);
-            zoneCounts.merge(zone, take, Integer::sum);
-            taken.add(offer);
-            cost += offer.cost;
-            left -= take;
-            if (left == 0) {
-                return new GangPlan(counts, taken, cost);
-            }
-        }
-        return null;
-    }
-
-    private Offer offerWithVictims(JobView job, TeamUsage usage, MachineRoom room, int tasks, double ownCost) {
-        JobSpec spec = job.spec();
-        int bestFits = room.fits(spec);
-        int chosen = 0;
-        double bestCost = ownCost;
-        List<TaskView> candidates = List.of();
-        if (bestFits < tasks) {
-            candidates = displaceable(job, usage, room);
-            double cpus = room.cpus;
-            double gpus = room.gpus;
-            double memoryGb = room.memoryGb;
-            double cost = ownCost;
-            for (int i = 0; i < candidates.size() && bestFits < tasks; i++) {
-                TaskView victim = candidates.get(i);
-                cpus += victim.job().cpus();
-                gpus += victim.job().gpus();
-                memoryGb += victim.job().memoryGb();
-                cost += victim.stopping()
-                        ? 0
-                        : (victim.lostMicros(nowMicros) / 1e6 + 1)
-                                * victim.job().cpus();
-                int fits = MachineRoom.fits(spec, cpus, gpus, memoryGb);
-                if (fits > bestFits) {
-                    bestFits = fits;
-                    chosen = i + 1;
-                    bestCost = cost;
-                }
-            }
-        }
-        return bestFits == 0 ? null : new Offer(room, bestFits, candidates.subList(0, chosen), bestCost);
-    }
-
-    /**
-     * Tasks on the machine that may be stopped for this job: what leaves anyway first, then the least work lost.
-     * What a team runs within its guarantee yields to other teams only by rank, and only to a team that claims
-     * its own guarantee; or a borrower of high rank and an owner of low rank would displace each other for ever.
-     */
-    private List<TaskView> displaceable(JobView job, TeamUsage usage, MachineRoom room) {
-        boolean reclaims = reclaims(job, usage);
-        List<TaskView> candidates = new ArrayList<>();
-        Map<TeamUsage, double[]> taken = new HashMap<>();
-        for (TaskView task : room.machine.load().tasks()) {
-            if (room.victims.contains(task) || task.job().id().equals(job.spec().id())) {
-                continue;
-            }
-            boolean ownTeam = task.job().team().equals(job.spec().team());
-            boolean lowerRank = task.job().rank().compareTo(job.spec().rank()) > 0;
-            TeamUsage other = usages.get(task.job().team());
-            double[] less = taken.computeIfAbsent(other, team -> new double[2]);
-            boolean borrowed = !ownTeam
-                    && other != null
-                    && other.borrowsWithout(
-                            less[0] + task.job().cpus(), less[1] + task.job().gpus());
-            if (task.stopping() || lowerRank && (ownTeam || borrowed || reclaims) || reclaims && borrowed) {
-                candidates.add(task);
-                less[0] += task.job().cpus();
-                less[1] += task.job().gpus();
-            }
-        }
-        return candidates;
-    }
-
     /**
      * Limits stand in the way of so many tasks of the job: stop as much as is missing, or nothing if that is not enough.
      * The team's own limit is made room under by its own work of lower rank alone, its cohort's also by what other teams
--- a/src/main/java/org/weldcourse/admission/Recorder.java
+++ b/src/main/java/org/weldcourse/admission/Recorder.java
@@ -1,6 +1,5 @@
 package org.weldcourse.admission;
 
-import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -15,7 +14,6 @@
 import org.weldcourse.runtime.Clock;
 import org.weldcourse.runtime.Timers;
 import org.weldcourse.settings.Settings;
-import org.weldcourse.store.RateLimiter;
 import org.weldcourse.store.RetryingCommit;
 import org.weldcourse.store.Store;
 import org.weldcourse.store.Store.Outcome;
@@ -24,12 +22,6 @@
 /** Puts a leader's decisions on record. Every commit is guarded by the epoch of the term. */
 public final class Recorder {
     private static final Logger LOG = LoggerFactory.getLogger(Recorder.class);
-    /** Background writes leave this share of the budget to users and other controllers. */
-    private static final double SHARE_OF_WRITES = 0.7;
-    /** A longer burst of the leader's would leave the next submissions none of the second's worth that is allowed. */
-    private static final double BURST_SECONDS = 0.5;
-
-    private static final double LEFT_BY_BACKGROUND = 0.2;
     private static final int MOST_SHARD_TASKS = 16_000;
     /**
      * Shards of another size than earlier versions know have numbers from here on and say where they begin. To an earlier
@@ -38,18 +30,17 @@
      */
     private static final int FINE_SHARD = 100_000;
     /** What the state service calls malformed must not be sent again and again as it is. */
-    private static final long MALFORMED_PAUSE_MICROS = 5_000_000;
+    static final long MALFORMED_PAUSE_MICROS = 5_000_000;
 
     private static final long SAVE_DONE_MICROS = 8_000_000;
-    private static final long READ_AGAIN_MICROS = 250_000;
+    static final long READ_AGAIN_MICROS = 250_000;
 
     private final Store store;
     private final Clock clock;
     private final Timers timers;
-    private final Settings.State limits;
-    private final long epochVersion;
-    private final RateLimiter pacer;
     private final Events events;
+    private final GuardedCommits commits;
+    private final JobCloser closer;
     private final int valueBytes;
     private final int txnOps;
     /** How versions that know of no lower limits divide finished tasks: the number of a shard says where it begins. */
@@ -81,13 +72,9 @@
         this.store = store;
         this.clock = clock;
         this.timers = timers;
-        this.limits = limits;
-        this.epochVersion = epochVersion;
         this.events = events;
-        this.pacer = new RateLimiter(
-                clock,
-                limits.safeWritesPerSecond() * SHARE_OF_WRITES,
-                limits.safeWritesPerSecond() * SHARE_OF_WRITES * BURST_SECONDS);
+        this.commits = new GuardedCommits(store, clock, timers, limits, epochVersion, events::outdated);
+        this.closer = new JobCloser(store, timers, commits, limits.safeTxnOps(), events);
         this.valueBytes = limits.safeValueBytes();
         this.txnOps = limits.safeTxnOps();
         this.plainShardTasks = shardTasks(limits.valueBytes());
@@ -108,48 +95,27 @@
     /** Ends with the term: nothing more is written, and no answer counts any more. */
     public void end() {
         ended = true;
-    }
-
-    private Transaction guarded() {
-        return new Transaction().guard("epoch", epochVersion);
-    }
-
-    /** What goes into a transaction besides the guard on the epoch. */
-    public interface Content {
-        /** Adds conditions and changes. */
-        void addTo(Transaction txn);
+        commits.end();
     }
 
     /** Writes something that can wait; false when the budget of changes has no room for it now. */
-    public boolean writeInBackground(Content content, RetryingCommit.Done done) {
-        if (!mayWriteInBackground()) {
-            return false;
-        }
-        Transaction txn = guarded();
-        content.addTo(txn);
-        commit(txn, done);
-        return true;
+    public boolean writeInBackground(GuardedCommits.Content content, RetryingCommit.Done done) {
+        return commits.writeInBackground(content, done);
     }
 
-    private void commit(Transaction txn, RetryingCommit.Done done) {
-        pacer.spend(txn.ops());
-        RetryingCommit.send(store, timers, txn, () -> !ended, (commit, unclear) -> {
-            if (commit.outcome() == Outcome.NO && commit.failed().contains("epoch")) {
-                events.outdated();
-                return;
-            }
-            done.accept(commit, unclear);
-        });
+    /** Moves a job that is over to its final record. */
+    public void close(Job job) {
+        closer.close(job);
     }
 
-    /** Admissions and endings come first: bookkeeping has to leave some of the budget. */
-    private boolean mayWriteInBackground() {
-        return pacer.tryTakeOf(limits.safeWritesPerSecond() * LEFT_BY_BACKGROUND);
+    /** Deletes records that no open job needs any more. */
+    public void sweep(List<String> keys) {
+        closer.sweep(keys);
     }
 
     /** How many admissions the budget of changes has room for now. */
     public int mostAdmissions() {
-        return pacer.available();
+        return commits.available();
     }
 
     /** Told whether an admission, or a save of finished tasks, is on record. */
@@ -193,7 +159,7 @@
         if (writes.isEmpty()) {
             writes.putAll(spread(job, fresh, null));
         }
-        Transaction txn = guarded();
+        Transaction txn = commits.guarded();
         events.guardAdmission(txn, job);
         write(job, txn, writes, then);
     }
@@ -260,7 +226,7 @@
     private void put(Job job, Transaction txn, Set<String> keys, int writing, Admitted then) {
         job.recording = true;
         job.savedMicros = clock.nowMicros();
-        commit(txn, (commit, unclear) -> {
+        commits.send(txn, (commit, unclear) -> {
             if (commit.outcome() == Outcome.OK) {
                 written(job, keys, commit.revision(), then);
             } else if (commit.outcome() == Outcome.BAD) {
@@ -330,7 +296,7 @@
      * successor hears of them from the workers too, as long as those were not told to forget them.
      */
     public void saveDone(Job job) {
-        if (job.recording || !job.hasUnsavedDone() || !mayWriteInBackground()) {
+        if (job.recording || !job.hasUnsavedDone() || !commits.mayWriteInBackground()) {
             return;
         }
         // Until a job's finished tasks have moved to shards it may not be admitted anew, so those do not wait.
@@ -363,7 +329,7 @@
             }
         }
         if (smallest != null && smallest.size() <= txnOps) {
-            write(job, guarded(), smallest, then);
+            write(job, commits.guarded(), smallest, then);
         }
     }
 
@@ -378,7 +344,7 @@
     private void saveShards(Job job, Admitted then) {
         BitSet saving = (BitSet) job.done.clone();
         int writing = ++job.writings;
-        Transaction txn = guarded().guard(Keys.open(job.spec.id()), job.version);
+        Transaction txn = commits.guarded().guard(Keys.open(job.spec.id()), job.version);
         Set<String> keys = new LinkedHashSet<>();
         for (int shard = 0; shard * shardTasks < job.spec.tasks(); shard++) {
             int from = shard * shardTasks;
@@ -437,76 +403,4 @@
             }
         }
     }
-
-    /** Moves a job that is over to its final record; the rest of its records follow in their own time. */
-    public void close(Job job) {
-        if (job.closing || job.closed || job.recording) {
-            return;
-        }
-        job.closing = true;
-        String id = job.spec.id();
-        String state = job.cancelled ? "cancelled" : "done";
-        Transaction txn = guarded()
-                .guard(Keys.open(id), job.version)
-                .delete(Keys.open(id))
-                .put(Keys.done(id), Json.of("heat", state, "done", job.done.cardinality()));
-        // Bookkeeping is left for quieter times.
-        List<String> rest = new ArrayList<>(job.records.keySet());
-        commit(txn, (commit, unclear) -> {
-            if (commit.outcome() == Outcome.OK) {
-                closed(job, state, rest);
-            } else if (commit.outcome() == Outcome.BAD) {
-                LOG.error("{}: the state service calls its end malformed", id);
-                timers.after(MALFORMED_PAUSE_MICROS, () -> confirmClosed(job, state, rest));
-            } else if (unclear) {
-                confirmClosed(job, state, rest);
-            } else {
-                job.closing = false;
-                events.stale(job);
-            }
-        });
-    }
-
-    private void confirmClosed(Job job, String state, List<String> rest) {
-        if (ended) {
-            return;
-        }
-        store.get(Keys.done(job.spec.id()), read -> {
-            if (ended) {
-                return;
-            }
-            if (read.outcome() == Outcome.OK) {
-                closed(job, state, rest);
-            } else if (read.outcome() == Outcome.NO) {
-                job.closing = false;
-                events.stale(job);
-            } else {
-                timers.after(READ_AGAIN_MICROS, () -> confirmClosed(job, state, rest));
-            }
-        });
-    }
-
-    private void closed(Job job, String state, List<String> rest) {
-        LOG.info("{} is {}", job.spec.id(), state);
-        job.closed = true;
-        job.closing = false;
-        sweep(rest);
-        events.recorded(job);
-    }
-
-    /** Deletes records that no open job needs any more. */
-    public void sweep(List<String> keys) {
-        if (keys.isEmpty() || ended) {
-            return;
-        }
-        if (!mayWriteInBackground()) {
-            timers.after(1_000_000, () -> sweep(keys));
-            return;
-        }
-        int some = Math.min(keys.size(), Math.max(1, txnOps / 2));
-        Transaction txn = guarded();
-        keys.subList(0, some).forEach(txn::delete);
-        List<String> rest = new ArrayList<>(keys.subList(some, keys.size()));
-        commit(txn, (commit, unclear) -> sweep(rest));
-    }
 }
--- /dev/null
+++ b/src/test/java/org/weldcourse/admission/LimitAccountsScaleTest.java
@@ -0,0 +1,85 @@
+package org.weldcourse.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.weldcourse.simulation.SimulatedCluster.jobBody;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+import org.weldcourse.http.Json;
+import org.weldcourse.jobs.JobCodec;
+import org.weldcourse.quota.Amount;
+import org.weldcourse.quota.LimitInForce;
+import org.weldcourse.quota.LimitRoom;
+import org.weldcourse.quota.OverLimit;
+import org.weldcourse.quota.Reservation;
+import org.weldcourse.quota.ReservationBook;
+import org.weldcourse.quota.TeamLimit;
+import org.weldcourse.quota.TeamLimitCodec;
+
+/** Team limits at the size that is served: 4,000 machines, 200 teams, 20,000 open jobs. */
+class LimitAccountsScaleTest {
+    private static final int MACHINES = 4_000;
+    private static final int TEAMS = 200;
+    private static final int JOBS = 20_000;
+    private static final int CONTROLLERS = 9;
+    private static final int LEAST_VALUE_BYTES = 4 * 1024;
+
+    private final ClusterState cluster = new ClusterState();
+    private final ReservationBook book = new ReservationBook();
+
+    private static TeamLimit team(int number) {
+        Map<String, Amount> budgets = new TreeMap<>();
+        for (int i = 0; i < CONTROLLERS; i++) {
+            budgets.put("controller-" + i + "#2f1c6f4e-6a3c-4b1f-9d7e-0123456789ab", Amount.of(8, 1));
+        }
+        Amount limit = Amount.limit(500, 100);
+        return new TeamLimit("team-" + number, Amount.of(100, 10), limit, OverLimit.DRAIN, "all", 1)
+                .withBudgets(budgets, 1);
+    }
+
+    @Test
+    void aRecordFitsTheSmallestValuesThatAStateServiceAllows() {
+        byte[] value = Json.bytes(TeamLimitCodec.value(team(0)));
+        assertTrue(value.length < LEAST_VALUE_BYTES, value.length + " bytes");
+    }
+
+    @Test
+    void anAccountLooksAtReservedJobsOnly() throws Exception {
+        for (int i = 0; i < MACHINES; i++) {
+            cluster.machine("m-" + i, 0);
+        }
+        for (int i = 0; i < TEAMS; i++) {
+            book.limitSeen(new LimitInForce(team(i), null));
+        }
+        book.readUpTo(1);
+        List<Job> jobs = new ArrayList<>();
+        for (int i = 0; i < JOBS; i++) {
+            String id = String.format("req-%06d", i);
+            Map<String, Object> body = jobBody(id, "crew", "team-" + i % TEAMS, "cpus", 1.0);
+            Job job = new Job(JobCodec.spec(Json.objectOrEmpty(Json.bytes(body))), 1, 0);
+            cluster.jobs.put(id, job);
+            jobs.add(job);
+            boolean reserved = i % 10 == 0;
+            Reservation reservation = new Reservation("controller-0", 1, reserved ? 1 : 0);
+            book.jobSeen(id, job.spec.team(), Amount.of(1, 0), reservation);
+        }
+        int[] looked = new int[1];
+        int covered = 0;
+        for (int i = 0; i < TEAMS; i++) {
+            ReservationBook.Account account =
+                    book.account("team-" + i, new LimitRoom(Amount.limit(500, 0), Amount.ZERO), null, job -> {
+                        looked[0]++;
+                        return 1;
+                    });
+            covered += account.coveredTasks().size();
+        }
+        assertEquals(JOBS / 10, looked[0]);
+        assertEquals(JOBS / 10, covered);
+        jobs.forEach(job -> book.jobEnded(job.spec.id()));
+        assertEquals(0, book.reservedTasks("req-000000"));
+    }
+}
