Limits are exceeded by more than rounding; no budgets where nothing is limited; unreadable teams count

Need: amounts are rounded to millionths for each task, and a limit that is met to the last unit must not look exceeded, or what waits there to be started would be given up again and again. Teams without any limit need no budgets.

--- a/src/main/java/org/weldcourse/admission/BudgetKeeper.java
+++ b/src/main/java/org/weldcourse/admission/BudgetKeeper.java
@@ -73,8 +73,10 @@
             boolean due = nowMicros - dividedMicros.getOrDefault(team, -DIVISION_PAUSE_MICROS) >= DIVISION_PAUSE_MICROS;
             if (due && !writing.contains(team) && accounts.isKnown(team)) {
                 toDivide.remove(team);
-                boolean leaveNoRoom = waitingTeams.contains(team) || !accounts.honoursAll(team);
-                divide(team, leaveNoRoom, accounts.freeBesideBudgets(team), nowMicros);
+                if (!ledger.limit(team).isUnlimited()) {
+                    boolean leaveNoRoom = waitingTeams.contains(team) || !accounts.honoursAll(team);
+                    divide(team, leaveNoRoom, accounts.freeBesideBudgets(team), nowMicros);
+                }
             }
         }
     }
--- a/src/main/java/org/weldcourse/admission/RecordedLimits.java
+++ b/src/main/java/org/weldcourse/admission/RecordedLimits.java
@@ -12,6 +12,7 @@
 import org.weldcourse.quota.LimitInForce;
 import org.weldcourse.quota.LimitLedger;
 import org.weldcourse.quota.OverLimit;
+import org.weldcourse.quota.QuotaRule;
 import org.weldcourse.quota.Reservation;
 import org.weldcourse.quota.ReservationBook;
 import org.weldcourse.quota.TeamLimitCodec;
@@ -217,7 +218,7 @@
             if (cohort != null
                     && cohortsSeen.add(cohort.name())
                     && cohort.overLimit() == OverLimit.DISPLACE
-                    && !usedBy(cohort).fitsInto(cohort.limit())) {
+                    && isOver(cohort)) {
                 stops.addAll(OverLimitStops.ofCohort(cluster, cohort, members(cohort)));
             }
         }
@@ -244,7 +245,12 @@
     }
 
     private boolean isOverOwnLimit(LimitInForce limit) {
-        return !cluster.used(limit.team().team()).fitsInto(limit.team().limit());
+        return QuotaRule.isExceeded(
+                limit.team().limit(), cluster.used(limit.team().team()));
+    }
+
+    private boolean isOver(CohortLimit cohort) {
+        return QuotaRule.isExceeded(cohort.limit(), usedBy(cohort));
     }
 
     @Override
@@ -254,7 +260,7 @@
             return false;
         }
         CohortLimit cohort = limit.cohort();
-        return isOverOwnLimit(limit) || cohort != null && !usedBy(cohort).fitsInto(cohort.limit());
+        return isOverOwnLimit(limit) || cohort != null && isOver(cohort);
     }
 
     @Override
@@ -275,9 +281,7 @@
                         limit.team().overLimit());
             }
             CohortLimit cohort = limit.cohort();
-            if (cohort != null
-                    && cohortsSeen.add(cohort.name())
-                    && !usedBy(cohort).fitsInto(cohort.limit())) {
+            if (cohort != null && cohortsSeen.add(cohort.name()) && isOver(cohort)) {
                 Amount over = usedBy(cohort).minus(cohort.limit());
                 addOver(text, "cohort " + cohort.name(), over, cohort.overLimit());
             }
--- a/src/main/java/org/weldcourse/admission/SettingsLimits.java
+++ b/src/main/java/org/weldcourse/admission/SettingsLimits.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import org.weldcourse.admission.Snapshot.TeamView;
 import org.weldcourse.quota.Amount;
+import org.weldcourse.quota.QuotaRule;
 import org.weldcourse.settings.Settings;
 import org.weldcourse.store.Transaction;
 
@@ -66,7 +67,7 @@
     @Override
     public boolean isExceeded(String team) {
         Amount limit = limits.get(team);
-        return limit != null && !cluster.used(team).fitsInto(limit);
+        return limit != null && QuotaRule.isExceeded(limit, cluster.used(team));
     }
 
     @Override
--- a/src/main/java/org/weldcourse/quota/Amount.java
+++ b/src/main/java/org/weldcourse/quota/Amount.java
@@ -76,6 +76,11 @@
         return new Amount(Math.min(cpuMillionths, other.cpuMillionths), Math.min(gpuMillionths, other.gpuMillionths));
     }
 
+    /** Whether this is a limit that limits nothing. */
+    public boolean isUnlimited() {
+        return cpuMillionths >= UNLIMITED && gpuMillionths >= UNLIMITED;
+    }
+
     /** Whether neither resource exceeds the other's. */
     public boolean fitsInto(Amount other) {
         return cpuMillionths <= other.cpuMillionths && gpuMillionths <= other.gpuMillionths;
--- a/src/main/java/org/weldcourse/quota/LimitInForce.java
+++ b/src/main/java/org/weldcourse/quota/LimitInForce.java
@@ -13,6 +13,11 @@
         return cohort == null ? team.version() : Math.max(team.version(), cohort.version());
     }
 
+    /** Whether neither the team nor its cohort is limited: then there is nothing to reserve. */
+    public boolean isUnlimited() {
+        return team.limit().isUnlimited() && (cohort == null || cohort.limit().isUnlimited());
+    }
+
     /** The versions on which a decision has to be written, by key. */
     public Map<String, Long> guards() {
         Map<String, Long> guards = new LinkedHashMap<>();
--- a/src/main/java/org/weldcourse/quota/QuotaRule.java
+++ b/src/main/java/org/weldcourse/quota/QuotaRule.java
@@ -7,6 +7,9 @@
  * never exceeds its limit in force by anything that is added. Controllers and tests use these same functions.
  */
 public final class QuotaRule {
+    /** Half a millionth for each of two thousand tasks. */
+    private static final Amount ROUNDING = new Amount(1_000, 1_000);
+
     private QuotaRule() {}
 
     /** What counts against the limit for one job: its tasks without evidence of their end, or what is reserved if more. */
@@ -19,6 +22,11 @@
         return counted.plus(added).fitsInto(limit);
     }
 
+    /** Whether what is in use exceeds a limit by more than the rounding of amounts can explain. */
+    public static boolean isExceeded(Amount limit, Amount used) {
+        return !used.minus(ROUNDING).fitsInto(limit);
+    }
+
     /** The sum of several amounts. */
     public static Amount sum(Collection<Amount> amounts) {
         Amount sum = Amount.ZERO;
--- a/src/test/java/org/weldcourse/quota/BudgetDivisionTest.java
+++ b/src/test/java/org/weldcourse/quota/BudgetDivisionTest.java
@@ -57,6 +57,14 @@
         }
     }
 
+    @Test
+    void roundingAloneExceedsNoLimit() {
+        Amount limit = Amount.limit(2, 0);
+        assertTrue(!QuotaRule.isExceeded(limit, Amount.of(0.6666666667, 0).times(3)));
+        assertTrue(QuotaRule.isExceeded(limit, Amount.of(2.1, 0)));
+        assertTrue(!QuotaRule.isExceeded(Amount.limit(0, 0), Amount.of(1e6, 1e3)));
+    }
+
     @Test
     void amountsSaturateInsteadOfOverflowing() {
         Amount huge = Amount.of(1e300, 0).times(100_000).plus(Amount.of(1e300, 0));
--- a/src/test/java/org/weldcourse/quota/LimitChangesTest.java
+++ b/src/test/java/org/weldcourse/quota/LimitChangesTest.java
@@ -121,6 +121,24 @@
         assertTrue(world.reaches("n3", id(large), "done", 100));
     }
 
+    /** Room that a team takes is not free because nobody can read what the team is allowed. */
+    @Test
+    void whatATeamRunsCountsForItsCohortAlsoWhileItsRecordCannotBeRead() {
+        cohort(12);
+        service(CREW, 8);
+        world.time.passSeconds(40);
+        assertEquals(8, running(CREW));
+        world.state.plant(TeamLimitCodec.key(CREW), Json.of("format", 2L, "team", CREW));
+        world.time.passSeconds(2);
+        service("edge", 8);
+        world.time.passSeconds(40);
+        assertEquals(4, running("edge"));
+        world.killNode(world.leader());
+        world.time.passSeconds(60);
+        assertEquals(8, running(CREW));
+        assertEquals(4, running("edge"), "also under a leader that never read the record");
+    }
+
     @Test
     void badChangesSayWhyAndWriteNothing() {
         Map<LimitChange, String> wrong = new HashMap<>();
