--- a/src/main/java/org/weldcourse/admission/LimitAccounts.java
+++ b/src/main/java/org/weldcourse/admission/LimitAccounts.java
@@ -82,10 +82,13 @@
         }
     }
 
-    /** Reserved tasks of a job that wait and are not booked. */
+    /**
+     * Reserved tasks of a job that wait and are not booked. A reservation is good for the first admission: a job that was
+     * displaced by its own team's higher rank would else take the room back from what displaced it, again and again.
+     */
     private int unusedTasks(String id) {
         Job job = cluster.jobs.get(id);
-        if (job == null || job.cancelled || job.closed) {
+        if (job == null || job.cancelled || job.closed || !job.records.isEmpty()) {
             return 0;
         }
         int unused = Math.max(0, book.reservedTasks(id) - job.bookings.size());
--- a/src/test/java/org/weldcourse/quota/TeamLimitsTest.java
+++ b/src/test/java/org/weldcourse/quota/TeamLimitsTest.java
@@ -177,6 +177,26 @@
         assertTrue(seconds <= 90, seconds + " s");
     }
 
+    /** Two reserved gangs fill the limit; a gang of higher rank displaces them, and they must not take the room back. */
+    @Test
+    void aDisplacedJobDoesNotTakeItsReservedRoomBack() {
+        set(CREW, limit(4));
+        grantBudgets(CREW);
+        List<String> ids = new ArrayList<>();
+        for (int i = 0; i < 4; i++) {
+            for (String node : world.alive()) {
+                Map<String, Object> body = job(CREW, 4_000_000, "shape", "ensemble", "rank", "normal");
+                ids.add(id(body));
+                world.submitSoon(node, body, answer -> {});
+            }
+            world.time.pass(400_000);
+        }
+        Map<String, Object> urgent = job(CREW, 4_000_000, "shape", "ensemble", "beads", 4L, "rank", "urgent");
+        submitted("n0", urgent);
+        assertTrue(world.reaches("n1", id(urgent), "done", 60));
+        ids.forEach(id -> assertTrue(world.reaches("n2", id, "done", 200), id));
+    }
+
     @Test
     void aLostReplicaIsReplacedAtTheLimitAndACancelledReservationIsFreed() {
         grantBudgets(CREW);
