Cohorts: what a guarantee claims is kept from those who borrow, whatever their rank

Change: a waiting gang keeps cohort room only where the cohort's limit is what it waits for, and claims of guarantees are taken out of what borrowers may use. Nothing changes without cohorts.

--- a/src/main/java/org/weldcourse/admission/Planner.java
+++ b/src/main/java/org/weldcourse/admission/Planner.java
@@ -75,6 +75,12 @@
     }
 
     private void run(List<JobView> jobs) {
+        for (JobView job : jobs) {
+            TeamUsage usage = usages.get(job.spec().team());
+            if (usage != null) {
+                usage.claim(job.spec(), job.pending().cardinality());
+            }
+        }
         AdmissionQueues queues = new AdmissionQueues(jobs, usages, nowMicros);
         while (!queues.isEmpty()) {
             admit(queues.removeHead());
@@ -103,7 +109,7 @@
         if (job.spec().gang()) {
             if (underLimit < wanted) {
                 makeQuota(job, usage, wanted);
-                usage.take(job.spec(), wanted);
+                usage.hold(job.spec(), wanted);
                 waiting.add(new Decisions.Waiting(job.spec(), wanted, true));
                 return wanted;
             }
--- a/src/main/java/org/weldcourse/admission/TeamUsage.java
+++ b/src/main/java/org/weldcourse/admission/TeamUsage.java
@@ -10,6 +10,10 @@
     double cpus;
     double gpus;
 
+    /** What waiting jobs claim of the guarantee, where there is a cohort. */
+    private double claimedCpus;
+
+    private double claimedGpus;
     /** What its cohort uses as a cycle books tasks, or null. */
     private final CohortUsage cohort;
 
@@ -18,6 +22,14 @@
         private final Snapshot.CohortView view;
         private double cpus;
         private double gpus;
+        /** What jobs that wait for the cohort's limit keep from others of the same standing. */
+        private double heldCpus;
+
+        private double heldGpus;
+        /** What teams lack of their guarantees and have jobs waiting for. */
+        private double claimedCpus;
+
+        private double claimedGpus;
 
         CohortUsage(Snapshot.CohortView view) {
             this.view = view;
@@ -42,10 +54,58 @@
         return fits(job, team.team().cpusMax() - cpus, team.team().gpusMax() - gpus);
     }
 
+    /**
+     * How many tasks of the job fit under the cohort's limit. What a team claims of its guarantee is kept from those who
+     * borrow, whatever their rank: they would else refill what they were displaced from before the claim is served.
+     */
     int underCohortLimit(JobSpec job) {
-        return cohort == null
-                ? Integer.MAX_VALUE
-                : fits(job, cohort.view.cpusMax() - cohort.cpus, cohort.view.gpusMax() - cohort.gpus);
+        if (cohort == null) {
+            return Integer.MAX_VALUE;
+        }
+        double freeCpus = cohort.view.cpusMax() - cohort.cpus;
+        double freeGpus = cohort.view.gpusMax() - cohort.gpus;
+        return withinGuarantee(job, job.gang() ? job.tasks() : 1)
+                ? fits(job, freeCpus, freeGpus)
+                : fits(
+                        job,
+                        freeCpus - cohort.heldCpus - (cohort.claimedCpus - claimedCpus),
+                        freeGpus - cohort.heldGpus - (cohort.claimedGpus - claimedGpus));
+    }
+
+    /** A job of the team waits for so many tasks: what its guarantee covers of them is claimed. */
+    void claim(JobSpec job, int tasks) {
+        if (cohort != null) {
+            double moreCpus =
+                    Math.min(job.cpus() * tasks, Math.max(0, team.team().cpus() - cpus - claimedCpus));
+            double moreGpus =
+                    Math.min(job.gpus() * tasks, Math.max(0, team.team().gpus() - gpus - claimedGpus));
+            claimedCpus += moreCpus;
+            claimedGpus += moreGpus;
+            cohort.claimedCpus += moreCpus;
+            cohort.claimedGpus += moreGpus;
+        }
+    }
+
+    /** Keeps room for a job that waits for a limit, so that later ones don't overtake it. */
+    void hold(JobSpec job, int tasks) {
+        boolean waitsForCohort = underOwnLimit(job) >= tasks;
+        cpus += job.cpus() * tasks;
+        gpus += job.gpus() * tasks;
+        if (cohort != null && waitsForCohort) {
+            cohort.heldCpus += job.cpus() * tasks;
+            cohort.heldGpus += job.gpus() * tasks;
+        }
+    }
+
+    private void serveClaim(JobSpec job, int tasks) {
+        if (cohort != null && tasks > 0) {
+            double servedCpus = Math.min(claimedCpus, job.cpus() * tasks);
+            double servedGpus = Math.min(claimedGpus, job.gpus() * tasks);
+            claimedCpus -= servedCpus;
+            claimedGpus -= servedGpus;
+            cohort.claimedCpus -= servedCpus;
+            cohort.claimedGpus -= servedGpus;
+        }
     }
 
     private static int fits(JobSpec job, double freeCpus, double freeGpus) {
@@ -81,6 +141,7 @@
     }
 
     void take(JobSpec job, int tasks) {
+        serveClaim(job, tasks);
         cpus += job.cpus() * tasks;
         gpus += job.gpus() * tasks;
         if (cohort != null) {
--- a/src/test/java/org/weldcourse/quota/TeamLimitsTest.java
+++ b/src/test/java/org/weldcourse/quota/TeamLimitsTest.java
@@ -177,6 +177,24 @@
         assertTrue(seconds <= 90, seconds + " s");
     }
 
+    /**
+     * Urgent gangs of a team without a guarantee fill the cohort, and more of them wait. They came first in each cycle and
+     * took the room back that work of lower rank had claimed as its guarantee, without end.
+     */
+    @Test
+    void urgentBorrowersDoNotRefillWhatAGuaranteeClaims() {
+        cohort(12);
+        set("edge", new LimitChange(0.0, null, null, null, null, null));
+        for (int i = 0; i < 4; i++) {
+            submitted("n0", job("edge", FOREVER, "shape", "ensemble", "beads", 6L, "rank", "urgent"));
+        }
+        world.time.passSeconds(40);
+        assertEquals(12, running("edge"));
+        Map<String, Object> owner = job(CREW, 5_000_000, "beads", 4L, "rank", "normal");
+        submitted("n1", owner);
+        assertTrue(world.reaches("n2", id(owner), "done", 40));
+    }
+
     /** Two reserved gangs fill the limit; a gang of higher rank displaces them, and they must not take the room back. */
     @Test
     void aDisplacedJobDoesNotTakeItsReservedRoomBack() {
