Team limits read again: one filter of a cohort's members, the ledger kept by key, accounts made when needed

Found on reading the whole change: the members of a cohort were picked out in four places; the view of the ledger was kept by name and searched through by key, and each key compiled its pattern anew; accounts were made a second time in every cycle, also with nothing to divide; the checker summed what runs in two places; the command line made the same option four times; a job was checked twice for being known. No behaviour or assertion changed.

--- a/src/main/java/org/weldcourse/admission/BudgetKeeper.java
+++ b/src/main/java/org/weldcourse/admission/BudgetKeeper.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.weldcourse.quota.Amount;
@@ -66,9 +67,13 @@
         toDivide.add(team);
     }
 
-    /** Changes budgets where demand has moved; {@code waitingTeams} have jobs that wait for a limit. */
-    void divide(Set<String> waitingTeams, LimitAccounts accounts, long nowMicros) {
+    /** Changes budgets where demand has moved; {@code waitingTeams} have jobs that wait for a limit. Accounts are made only where there is something to look at. */
+    void divide(Set<String> waitingTeams, Supplier<LimitAccounts> account, long nowMicros) {
         toDivide.addAll(waitingTeams);
+        if (toDivide.isEmpty()) {
+            return;
+        }
+        LimitAccounts accounts = account.get();
         for (String team : List.copyOf(toDivide)) {
             boolean due = nowMicros - dividedMicros.getOrDefault(team, -DIVISION_PAUSE_MICROS) >= DIVISION_PAUSE_MICROS;
             if (due && !writing.contains(team) && accounts.isKnown(team)) {
--- a/src/main/java/org/weldcourse/admission/RecordedLimits.java
+++ b/src/main/java/org/weldcourse/admission/RecordedLimits.java
@@ -100,13 +100,11 @@
 
     private void takeOverLedger() {
         boolean behind = false;
-        for (Settings.Team team : settings.teams()) {
-            LimitInForce limit = ledger.limit(team.name());
-            if (limit != null) {
-                book.limitSeen(limit);
-                behind |= !book.isUpToDate(team.name());
-                budgets.look(team.name());
-            }
+        for (LimitInForce limit : limits()) {
+            String team = limit.team().team();
+            book.limitSeen(limit);
+            behind |= !book.isUpToDate(team);
+            budgets.look(team);
         }
         if (behind) {
             office.readOpenJobs();
@@ -146,7 +144,7 @@
     @Override
     public void jobSeen(Job job, Map<String, Object> jobRecord) {
         Reservation reservation = Reservation.of(jobRecord);
-        if (reservation == null || book.knows(job.spec.id())) {
+        if (reservation == null) {
             return;
         }
         Amount perTask = Amount.of(job.spec.cpus(), job.spec.gpus());
@@ -175,28 +173,20 @@
             }
         }
         waitingTeams.addAll(othersOfTheirCohorts(waitingTeams));
-        // The cycle has booked since its accounts were made.
-        accounts = account();
-        budgets.divide(waitingTeams, accounts, nowMicros);
+        // The cycle has booked since its accounts were made, so that new ones are needed, where there is anything to
+        // divide.
+        budgets.divide(waitingTeams, this::account, nowMicros);
         budgets.seedMissing(nowMicros);
     }
 
     /** A job that waits for a cohort's limit may wait for room that another team's budgets hold. */
     private Set<String> othersOfTheirCohorts(Set<String> waitingTeams) {
-        Set<String> cohorts = new HashSet<>();
+        Set<String> others = new HashSet<>();
         for (String team : waitingTeams) {
             LimitInForce limit = ledger.limit(team);
             if (limit != null && limit.cohort() != null) {
-                cohorts.add(limit.cohort().name());
-            }
-        }
-        Set<String> others = new HashSet<>();
-        for (Settings.Team team : settings.teams()) {
-            LimitInForce limit = cohorts.isEmpty() ? null : ledger.limit(team.name());
-            if (limit != null
-                    && limit.cohort() != null
-                    && cohorts.contains(limit.cohort().name())) {
-                others.add(team.name());
+                members(limit.cohort())
+                        .forEach(member -> others.add(member.team().team()));
             }
         }
         return others;
@@ -206,11 +196,7 @@
     public List<Booking> overLimit() {
         List<Booking> stops = new ArrayList<>();
         Set<String> cohortsSeen = new HashSet<>();
-        for (Settings.Team team : settings.teams()) {
-            LimitInForce limit = ledger.limit(team.name());
-            if (limit == null) {
-                continue;
-            }
+        for (LimitInForce limit : limits()) {
             if (limit.team().overLimit() == OverLimit.DISPLACE && isOverOwnLimit(limit)) {
                 stops.addAll(OverLimitStops.ofTeam(cluster, limit.team()));
             }
@@ -226,14 +212,19 @@
     }
 
     private List<LimitInForce> members(CohortLimit cohort) {
-        List<LimitInForce> members = new ArrayList<>();
+        return limits().stream().filter(limit -> limit.isIn(cohort.name())).toList();
+    }
+
+    /** The limits of all teams whose records can be used. */
+    private List<LimitInForce> limits() {
+        List<LimitInForce> limits = new ArrayList<>();
         for (Settings.Team team : settings.teams()) {
             LimitInForce limit = ledger.limit(team.name());
-            if (limit != null && limit.cohort() != null && limit.cohort().name().equals(cohort.name())) {
-                members.add(limit);
+            if (limit != null) {
+                limits.add(limit);
             }
         }
-        return members;
+        return limits;
     }
 
     private Amount usedBy(CohortLimit cohort) {
@@ -267,18 +258,11 @@
     public String status() {
         StringBuilder text = new StringBuilder();
         Set<String> cohortsSeen = new HashSet<>();
-        for (Settings.Team team : settings.teams()) {
-            LimitInForce limit = ledger.limit(team.name());
-            if (limit == null) {
-                continue;
-            }
-            Amount used = cluster.used(team.name());
+        for (LimitInForce limit : limits()) {
+            String team = limit.team().team();
             if (isOverOwnLimit(limit)) {
-                addOver(
-                        text,
-                        "team " + team.name(),
-                        used.minus(limit.team().limit()),
-                        limit.team().overLimit());
+                Amount over = cluster.used(team).minus(limit.team().limit());
+                addOver(text, "team " + team, over, limit.team().overLimit());
             }
             CohortLimit cohort = limit.cohort();
             if (cohort != null && cohortsSeen.add(cohort.name()) && isOver(cohort)) {
--- a/src/main/java/org/weldcourse/admission/TeamLimits.java
+++ b/src/main/java/org/weldcourse/admission/TeamLimits.java
@@ -22,7 +22,7 @@
     /** An admission of the job was refused on a condition for one of these keys. */
     void conditionFailed(Job job, List<Object> keys);
 
-    /** The job's record was read. */
+    /** The job's record was read for the first time. */
     void jobSeen(Job job, Map<String, Object> jobRecord);
 
     /** The job is over, and nothing of it is left. */
--- a/src/main/java/org/weldcourse/app/Main.java
+++ b/src/main/java/org/weldcourse/app/Main.java
@@ -166,8 +166,8 @@
                 set.matchedOptionValue("--cpus-max", (Double) null),
                 set.matchedOptionValue("--gpus", (Double) null),
                 set.matchedOptionValue("--gpus-max", (Double) null),
-                over == null ? null : OverLimit.ofWord(over),
-                set.hasMatchedOption("--cohort") ? set.matchedOptionValue("--cohort", (String) null) : null);
+                OverLimit.ofWord(over),
+                set.matchedOptionValue("--cohort", (String) null));
     }
 
     private static CommandSpec limits() {
@@ -175,11 +175,7 @@
         set.addPositional(name("TEAM", "The team, as in the settings."));
         set.addOption(amount("--cpus", "The guarantee in CPUs."));
         set.addOption(amount("--gpus", "The guarantee in GPUs."));
-        set.addOption(OptionSpec.builder("--cohort")
-                .paramLabel("NAME")
-                .type(String.class)
-                .description("The cohort that the team borrows in, or none.")
-                .build());
+        set.addOption(option("--cohort", "NAME", String.class, "The cohort that the team borrows in, or none."));
         addLimits(set);
         CommandSpec setCohort = command("set-cohort", "Changes or creates a cohort: what its teams may use together.");
         setCohort.addPositional(name("NAME", "The cohort."));
@@ -194,11 +190,8 @@
     private static void addLimits(CommandSpec set) {
         set.addOption(amount("--cpus-max", "The limit in CPUs; 0 for none."));
         set.addOption(amount("--gpus-max", "The limit in GPUs; 0 for none."));
-        set.addOption(OptionSpec.builder("--over")
-                .paramLabel("POLICY")
-                .type(String.class)
-                .description("What is over the limit: drain (runs to its end) or displace (is stopped).")
-                .build());
+        String policies = "What is over the limit: drain (runs to its end) or displace (is stopped).";
+        set.addOption(option("--over", "POLICY", String.class, policies));
     }
 
     private static PositionalParamSpec name(String label, String description) {
@@ -212,9 +205,13 @@
     }
 
     private static OptionSpec amount(String name, String description) {
+        return option(name, "NUMBER", Double.class, description);
+    }
+
+    private static OptionSpec option(String name, String label, Class<?> type, String description) {
         return OptionSpec.builder(name)
-                .paramLabel("NUMBER")
-                .type(Double.class)
+                .paramLabel(label)
+                .type(type)
                 .description(description)
                 .build();
     }
--- a/src/main/java/org/weldcourse/quota/LimitInForce.java
+++ b/src/main/java/org/weldcourse/quota/LimitInForce.java
@@ -13,6 +13,11 @@
         return cohort == null ? team.version() : Math.max(team.version(), cohort.version());
     }
 
+    /** Whether the team belongs to the cohort of this name. */
+    public boolean isIn(String cohortName) {
+        return cohort != null && cohort.name().equals(cohortName);
+    }
+
     /** Whether neither the team nor its cohort is limited: then there is nothing to reserve. */
     public boolean isUnlimited() {
         return team.limit().isUnlimited() && (cohort == null || cohort.limit().isUnlimited());
--- a/src/main/java/org/weldcourse/quota/LimitLedger.java
+++ b/src/main/java/org/weldcourse/quota/LimitLedger.java
@@ -28,9 +28,10 @@
     private final Store store;
     private final Timers timers;
     private final Settings settings;
+    /** Records by their keys, as are the versions of those that can't be used. */
     private final Map<String, TeamLimit> teams = new HashMap<>();
+
     private final Map<String, CohortLimit> cohorts = new HashMap<>();
-    /** Versions of records that can't be used, by key. */
     private final Map<String, Long> unreadable = new HashMap<>();
 
     private final Set<String> saidToDiffer = new HashSet<>();
@@ -79,14 +80,15 @@
 
     /** The team's limit, or null where it is missing or can't be used. */
     public LimitInForce limit(String name) {
-        TeamLimit team = teams.get(name);
-        if (team == null || unreadable.containsKey(TeamLimitCodec.key(name))) {
+        String key = TeamLimitCodec.key(name);
+        TeamLimit team = teams.get(key);
+        if (team == null || unreadable.containsKey(key)) {
             return null;
         }
         if (team.cohort() == null) {
             return new LimitInForce(team, null);
         }
-        CohortLimit cohort = cohorts.get(team.cohort());
+        CohortLimit cohort = cohorts.get(TeamLimitCodec.cohortKey(team.cohort()));
         return cohort == null ? null : new LimitInForce(team, cohort);
     }
 
@@ -95,15 +97,19 @@
      * showed, or to any if none was seen.
      */
     public boolean mayBelongTo(String name, String cohort) {
-        TeamLimit team = teams.get(name);
-        return team == null ? unreadable.containsKey(TeamLimitCodec.key(name)) : cohort.equals(team.cohort());
+        String key = TeamLimitCodec.key(name);
+        TeamLimit team = teams.get(key);
+        return team == null ? unreadable.containsKey(key) : cohort.equals(team.cohort());
     }
 
     /** Whether a record of the team or its cohort can't be used: nothing is reserved or admitted for it. */
     public boolean isUnreadable(String name) {
-        TeamLimit team = teams.get(name);
-        return unreadable.containsKey(TeamLimitCodec.key(name))
-                || team != null && team.cohort() != null && !cohorts.containsKey(team.cohort());
+        String key = TeamLimitCodec.key(name);
+        TeamLimit team = teams.get(key);
+        return unreadable.containsKey(key)
+                || team != null
+                        && team.cohort() != null
+                        && !cohorts.containsKey(TeamLimitCodec.cohortKey(team.cohort()));
     }
 
     @Override
@@ -130,11 +136,9 @@
             accept(entry);
         }
         long revision = listing.revision();
-        teams.values()
-                .removeIf(team -> team.version() <= revision && !present.contains(TeamLimitCodec.key(team.team())));
-        cohorts.values()
-                .removeIf(cohort ->
-                        cohort.version() <= revision && !present.contains(TeamLimitCodec.cohortKey(cohort.name())));
+        teams.entrySet().removeIf(team -> team.getValue().version() <= revision && !present.contains(team.getKey()));
+        cohorts.entrySet()
+                .removeIf(cohort -> cohort.getValue().version() <= revision && !present.contains(cohort.getKey()));
         unreadable.keySet().retainAll(present);
         readRevision = Math.max(readRevision, revision);
         loaded = true;
@@ -167,7 +171,7 @@
      */
     public void refresh(String name, Consumer<Boolean> then) {
         read(TeamLimitCodec.key(name), isRead -> {
-            TeamLimit team = teams.get(name);
+            TeamLimit team = teams.get(TeamLimitCodec.key(name));
             if (!isRead || team == null || team.cohort() == null) {
                 then.accept(isRead);
             } else {
@@ -188,14 +192,12 @@
 
     /** Takes over a record that this controller wrote itself. */
     public void written(TeamLimit limit) {
-        if (isNewer(TeamLimitCodec.key(limit.team()), limit.version(), teams.get(limit.team()))) {
-            teams.put(limit.team(), limit);
-            changed();
-        }
+        accept(limit);
+        changed();
     }
 
-    private boolean isNewer(String key, long version, TeamLimit known) {
-        return (known == null || version > known.version()) && version > unreadable.getOrDefault(key, -1L);
+    private boolean isNewer(String key, long version) {
+        return version > versionOf(key) && version > unreadable.getOrDefault(key, 0L);
     }
 
     private void accept(Store.Event event) {
@@ -204,13 +206,8 @@
             return;
         }
         unreadable.remove(event.key());
-        remove(event.key());
-    }
-
-    private void remove(String key) {
-        teams.values().removeIf(team -> TeamLimitCodec.key(team.team()).equals(key));
-        cohorts.values()
-                .removeIf(cohort -> TeamLimitCodec.cohortKey(cohort.name()).equals(key));
+        teams.remove(event.key());
+        cohorts.remove(event.key());
     }
 
     private void accept(Store.Entry entry) {
@@ -224,8 +221,7 @@
             if (entry.version() < versionOf(entry.key())) {
                 return;
             }
-            cohorts.values()
-                    .removeIf(cohort -> TeamLimitCodec.cohortKey(cohort.name()).equals(entry.key()));
+            cohorts.remove(entry.key());
             if (!Long.valueOf(entry.version()).equals(unreadable.put(entry.key(), entry.version()))) {
                 LOG.error("{}: nothing is admitted for its teams: {}", entry.key(), problem.getMessage());
             }
@@ -234,36 +230,29 @@
 
     private void accept(CohortLimit cohort) {
         String key = TeamLimitCodec.cohortKey(cohort.name());
-        CohortLimit known = cohorts.get(cohort.name());
-        boolean newer = known == null || cohort.version() > known.version();
-        if (newer && cohort.version() > unreadable.getOrDefault(key, -1L)) {
+        if (isNewer(key, cohort.version())) {
             unreadable.remove(key);
-            cohorts.put(cohort.name(), cohort);
+            cohorts.put(key, cohort);
         }
     }
 
     private void accept(TeamLimit team) {
         String key = TeamLimitCodec.key(team.team());
-        if (isNewer(key, team.version(), teams.get(team.team()))) {
+        if (isNewer(key, team.version())) {
             unreadable.remove(key);
-            teams.put(team.team(), team);
+            teams.put(key, team);
             compareWithSettings(team);
         }
     }
 
     /** The version of the record that is known under this key, or 0. */
     private long versionOf(String key) {
-        for (TeamLimit team : teams.values()) {
-            if (TeamLimitCodec.key(team.team()).equals(key)) {
-                return team.version();
-            }
-        }
-        for (CohortLimit cohort : cohorts.values()) {
-            if (TeamLimitCodec.cohortKey(cohort.name()).equals(key)) {
-                return cohort.version();
-            }
+        if (TeamLimitCodec.isCohort(key)) {
+            CohortLimit cohort = cohorts.get(key);
+            return cohort == null ? 0 : cohort.version();
         }
-        return 0;
+        TeamLimit team = teams.get(key);
+        return team == null ? 0 : team.version();
     }
 
     private void compareWithSettings(TeamLimit limit) {
--- a/src/main/java/org/weldcourse/quota/ReservationBook.java
+++ b/src/main/java/org/weldcourse/quota/ReservationBook.java
@@ -50,11 +50,8 @@
         }
     }
 
-    /** A job's record was read, for the first time or again. */
+    /** A job's record was read for the first time. */
     public void jobSeen(String job, String teamName, Amount perTask, Reservation reservation) {
-        if (reservation == null || heldByJob.containsKey(job)) {
-            return;
-        }
         Team team = team(teamName);
         Held held = new Held(job, teamName, ++lastOrdinal, perTask, reservation);
         heldByJob.put(job, held);
@@ -160,11 +157,6 @@
         return new Account(covered, honoursAll);
     }
 
-    /** Whether the job's reservation has been read. */
-    public boolean knows(String job) {
-        return heldByJob.containsKey(job);
-    }
-
     /** How many tasks of a job are reserved. */
     public int reservedTasks(String job) {
         Held held = heldByJob.get(job);
--- a/src/main/java/org/weldcourse/quota/TeamLimitCodec.java
+++ b/src/main/java/org/weldcourse/quota/TeamLimitCodec.java
@@ -4,6 +4,7 @@
 import java.util.Base64;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.regex.Pattern;
 import org.weldcourse.http.Json;
 import org.weldcourse.store.Store;
 
@@ -17,6 +18,7 @@
 
     static final int FORMAT = 1;
     private static final int MOST_PLAIN_NAME = 150;
+    private static final Pattern PLAIN_NAME = Pattern.compile("[A-Za-z0-9._-]+");
     /** Plain names never contain this, so that no two teams share a key. */
     private static final String ENCODED = "~";
 
@@ -46,7 +48,7 @@
 
     /** Names that a key can't hold are encoded. */
     private static String keyPart(String name) {
-        if (name.length() <= MOST_PLAIN_NAME && name.matches("[A-Za-z0-9._-]+")) {
+        if (name.length() <= MOST_PLAIN_NAME && PLAIN_NAME.matcher(name).matches()) {
             return name;
         }
         byte[] bytes = name.getBytes(StandardCharsets.UTF_8);
--- a/src/test/java/org/weldcourse/quota/QuotaHistory.java
+++ b/src/test/java/org/weldcourse/quota/QuotaHistory.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.Predicate;
 import org.weldcourse.http.Json;
 import org.weldcourse.jobs.Keys;
 import org.weldcourse.jobs.SliceCodec;
@@ -72,10 +73,6 @@
         return admissions;
     }
 
-    public Amount limit(String team) {
-        return limits.get(team).inForce();
-    }
-
     private void committed(List<Written> changes) {
         for (Written change : changes) {
             if (change.key().startsWith(TeamLimitCodec.PREFIX)) {
@@ -239,6 +236,17 @@
         return running;
     }
 
+    /** What runs of the jobs that are asked for, also of those that are on record no more. */
+    private Amount running(Predicate<OpenJob> which) {
+        Amount sum = Amount.ZERO;
+        for (OpenJob job : everyJob.values()) {
+            if (which.test(job)) {
+                sum = sum.plus(job.perTask.times(running(job)));
+            }
+        }
+        return sum;
+    }
+
     private void started(String task, int attempt) {
         starts++;
         OpenJob started = everyJob.get(task.substring(0, task.indexOf('/')));
@@ -247,17 +255,11 @@
             throw new AssertionError("started without being on record: " + task);
         }
         checkCohort(started.team, admitted, task);
-        Amount running = Amount.ZERO;
-        StringBuilder jobs = new StringBuilder();
-        for (OpenJob job : everyJob.values()) {
-            if (job.team.equals(started.team) && running(job) > 0) {
-                running = running.plus(job.perTask.times(running(job)));
-                jobs.append(running(job)).append(" of ").append(job).append("; ");
-            }
-        }
+        Amount running = running(job -> job.team.equals(started.team));
         if (!mostSince(started.team, admitted, running)) {
-            throw new AssertionError("overshoot: " + started.team + " runs " + running + " with " + task
-                    + " admitted at " + admitted + " under " + limits.get(started.team).byRevision + ": " + jobs);
+            throw new AssertionError(
+                    "overshoot: " + started.team + " runs " + running + " with " + task + " admitted at " + admitted
+                            + " under " + limits.get(started.team).byRevision + ": " + counting(started.team));
         }
     }
 
@@ -267,18 +269,13 @@
         if (cohort == null || cohorts.get(cohort).firstKey() > admitted) {
             return;
         }
-        Amount running = Amount.ZERO;
-        StringBuilder jobs = new StringBuilder();
-        for (OpenJob job : everyJob.values()) {
-            if (cohort.equals(limits.get(job.team).record.cohort()) && running(job) > 0) {
-                running = running.plus(job.perTask.times(running(job)));
-                jobs.append(running(job)).append(" of ").append(job).append("; ");
-            }
-        }
+        Amount running =
+                running(job -> cohort.equals(limits.get(job.team).record.cohort()));
         TreeMap<Long, Amount> history = cohorts.get(cohort);
         if (history.tailMap(history.floorKey(admitted)).values().stream().noneMatch(running::fitsInto)) {
             throw new AssertionError("overshoot: cohort " + cohort + " runs " + running + " with " + task
-                    + " admitted at " + admitted + " under " + history + ": " + jobs);
+                    + " admitted at " + admitted + " under " + history + ": "
+                    + limits.keySet().stream().map(this::counting).toList());
         }
     }
 
