Stand-ins: images, gangs that gather and lose mates, GPUs and all teams counted, late answers dropped

A task now counts from its image until exit, kill or loss, also on a machine that hangs; the tasks of a gang start together, notice within gang_peer_s that one is gone or hangs, and may have completed by then; an answer that reaches a worker after its time-out is dropped.

--- a/src/test/java/org/weldcourse/simulation/ClusterRules.java
+++ b/src/test/java/org/weldcourse/simulation/ClusterRules.java
@@ -10,12 +10,20 @@
 import java.util.TreeSet;
 import java.util.function.BiConsumer;
 import org.weldcourse.http.Json;
-import org.weldcourse.runtime.Clock;
 import org.weldcourse.settings.Settings;
 import org.weldcourse.simulation.SimulatedCluster.Answer;
 
-/** The rules of the protocol, watched from outside: what tasks do on machines, and what users are told. */
+/**
+ * The rules of the protocol, watched from outside: what tasks do on machines, and what users are told. A task is on its
+ * machine from the moment it has its image until it exits, is killed or the machine is gone, also while the machine hangs or
+ * can't be reached.
+ */
 public final class ClusterRules implements FakeWorker.Tasks {
+    /** Within this time the tasks of a running gang notice that one of them is gone or its machine hangs. */
+    private static final long GANG_PEER_MICROS = 4_000_000;
+
+    private static final double ROUNDING = 1e-9;
+
     public final Map<String, Integer> starts = new HashMap<>();
     public final Map<String, Map<String, Object>> jobs = new HashMap<>();
     public final Map<String, Long> runMicros = new HashMap<>();
@@ -25,13 +33,16 @@
     /** The latest that any node told of a job. */
     private final Map<String, String> told = new HashMap<>();
 
-    private final Clock time;
+    /** How long the image of a job's tasks takes, where it is not there at once. */
+    public final Map<String, Long> fetchMicros = new HashMap<>();
+
+    private final FakeTime time;
     private final List<Settings.Team> teams;
     private final long cancelMicros;
     private BiConsumer<String, Integer> onStart = (task, attempt) -> {};
     private int startsAfterCancellation;
 
-    public ClusterRules(Clock time, List<Settings.Team> teams, long cancelMicros) {
+    public ClusterRules(FakeTime time, List<Settings.Team> teams, long cancelMicros) {
         this.time = time;
         this.teams = teams;
         this.cancelMicros = cancelMicros;
@@ -135,9 +146,23 @@
         return runMicros.getOrDefault(task, runMicros.getOrDefault(id, 10_000_000L));
     }
 
+    @Override
+    public long fetchMicros(String task) {
+        return fetchMicros.getOrDefault(jobOf(task), 0L);
+    }
+
+    @Override
+    public boolean startsWithGang(String task) {
+        return jobs.containsKey(jobOf(task)) && isGang(jobOf(task));
+    }
+
+    private static String jobOf(String task) {
+        return task.substring(0, task.indexOf('/'));
+    }
+
     @Override
     public void started(FakeWorker worker, String task, int attempt) {
-        String id = task.substring(0, task.indexOf('/'));
+        String id = jobOf(task);
         if (running.containsKey(task)) {
             throw new AssertionError("ran_twice: " + task);
         }
@@ -153,8 +178,57 @@
         checkPlace(job, id, worker);
         running.put(task, worker);
         starts.merge(task, 1, Integer::sum);
-        checkQuota(Json.text(job, "crew"));
+        checkQuota();
         onStart.accept(task, attempt);
+        if (isGang(id)) {
+            startGangIfWhole(id, attempt);
+        }
+    }
+
+    private void startGangIfWhole(String id, int attempt) {
+        List<String> mates = tasksOf(id);
+        for (String mate : mates) {
+            FakeWorker worker = running.get(mate);
+            if (worker == null || worker.attempt(mate) != attempt) {
+                return;
+            }
+        }
+        mates.forEach(mate -> running.get(mate).gangStarts(mate));
+    }
+
+    private List<String> tasksOf(String id) {
+        List<String> tasks = new ArrayList<>();
+        for (int task = 0; task < Json.integer(jobs.get(id), "beads", 0); task++) {
+            tasks.add(id + "/" + task);
+        }
+        return tasks;
+    }
+
+    @Override
+    public void hung(FakeWorker worker) {
+        for (String task : worker.present()) {
+            if (startsWithGang(task)) {
+                int attempt = worker.attempt(task);
+                time.after(GANG_PEER_MICROS, () -> {
+                    if (worker.isFrozenFor(GANG_PEER_MICROS)) {
+                        matesNotice(jobOf(task), attempt);
+                    }
+                });
+            }
+        }
+    }
+
+    /** The tasks of the gang that still run give up. */
+    private void matesNotice(String id, int attempt) {
+        if (isOver(id, 0)) {
+            return;
+        }
+        for (String mate : tasksOf(id)) {
+            FakeWorker worker = running.get(mate);
+            if (worker != null) {
+                worker.matesGone(mate, attempt);
+            }
+        }
     }
 
     private void checkPlace(Map<String, Object> job, String id, FakeWorker worker) {
@@ -180,25 +254,43 @@
         }
     }
 
-    private void checkQuota(String crew) {
-        double used = 0;
+    /** All teams, since what any of them has on machines may have become too much by now. */
+    private void checkQuota() {
+        for (Settings.Team team : teams) {
+            checkQuota(team);
+        }
+    }
+
+    private void checkQuota(Settings.Team team) {
+        double cpus = 0;
+        double gpus = 0;
         for (String task : running.keySet()) {
-            Map<String, Object> job = jobs.get(task.substring(0, task.indexOf('/')));
-            if (crew.equals(Json.text(job, "crew"))) {
-                used += Json.decimal(job, "cpus", 0);
+            Map<String, Object> job = jobs.get(jobOf(task));
+            if (team.name().equals(Json.text(job, "crew"))) {
+                cpus += Json.decimal(job, "cpus", 0);
+                gpus += Json.decimal(job, "gpus", 0);
             }
         }
-        for (Settings.Team team : teams) {
-            if (team.name().equals(crew) && used > team.cpusMax() + 1e-9) {
-                throw new AssertionError(
-                        "quota: " + crew + " uses " + used + " with " + new TreeSet<>(running.keySet()));
-            }
+        if (cpus > team.cpusMax() + ROUNDING || gpus > team.gpusMax() + ROUNDING) {
+            throw new AssertionError("quota: " + team.name() + " uses " + cpus + " CPUs and " + gpus + " GPUs with "
+                    + new TreeSet<>(running.keySet()));
         }
     }
 
     @Override
     public void ended(FakeWorker worker, String task) {
-        running.remove(task, worker);
+        if (!running.remove(task, worker) || !startsWithGang(task)) {
+            return;
+        }
+        String id = jobOf(task);
+        for (String mate : tasksOf(id)) {
+            FakeWorker other = running.get(mate);
+            if (other != null) {
+                int attempt = other.attempt(mate);
+                time.after(GANG_PEER_MICROS, () -> matesNotice(id, attempt));
+                return;
+            }
+        }
     }
 
     @Override
@@ -218,7 +310,10 @@
         return "ensemble".equals(jobs.get(id).get("shape"));
     }
 
-    /** The tasks of a gang complete together: none does while one of them is not there, or its machine hangs. */
+    /**
+     * The tasks of a gang complete together: none does while one of them is not there. That its machine hangs the others
+     * notice only after a while, and may have completed by then.
+     */
     @Override
     public boolean mayComplete(String task) {
         String id = task.substring(0, task.indexOf('/'));
@@ -227,7 +322,7 @@
         }
         for (int mate = 0; mate < Json.integer(jobs.get(id), "beads", 0); mate++) {
             FakeWorker worker = running.get(id + "/" + mate);
-            if (worker == null || worker.isFrozen()) {
+            if (worker == null || worker.isFrozenFor(GANG_PEER_MICROS)) {
                 return false;
             }
         }
--- a/src/test/java/org/weldcourse/simulation/FakeWorker.java
+++ b/src/test/java/org/weldcourse/simulation/FakeWorker.java
@@ -8,14 +8,23 @@
 import org.weldcourse.http.Json;
 import org.weldcourse.http.Server;
 
-/** A worker on one machine. Images are there at once; how long tasks run is up to the world. */
+/** A worker on one machine. How long images take and tasks run is up to the world. */
 public final class FakeWorker implements Server.Handler {
     /** What the workers' tasks are, and who must know when one starts or ends. */
     public interface Tasks {
         long runMicros(String task);
 
+        /** How long the task waits for its image. */
+        long fetchMicros(String task);
+
+        /** Whether the task is one of several that start together. */
+        boolean startsWithGang(String task);
+
         void started(FakeWorker worker, String task, int attempt);
 
+        /** The machine hangs from now on. */
+        void hung(FakeWorker worker);
+
         void ended(FakeWorker worker, String task);
 
         void completed(String task);
@@ -24,9 +33,13 @@
         boolean mayComplete(String task);
     }
 
+    private static final String FETCHING = "fetching";
+    private static final String GATHERING = "gathering";
+    private static final String RUNNING = "running";
+
     private static final class Bead {
         final int attempt;
-        String heat = "running";
+        String heat = FETCHING;
         String cause;
 
         Bead(int attempt) {
@@ -35,6 +48,8 @@
     }
 
     private static final long GANG_RETRY_MICROS = 100_000;
+    private static final long GANG_WAIT_MICROS = 40_000_000;
+    private static final long REPORT_TIMEOUT_MICROS = 4_000_000;
 
     private final FakeTime time;
     private final Caller caller;
@@ -55,6 +70,7 @@
     private int target;
     private boolean alive = true;
     private boolean frozen;
+    private long frozenSinceMicros;
     private final List<Runnable> waiting = new ArrayList<>();
     private long noticeEndsMicros = -1;
     private boolean inFlight;
@@ -128,10 +144,20 @@
         return frozen;
     }
 
+    /** Whether it has been hanging for so long without a pause. */
+    public boolean isFrozenFor(long micros) {
+        return frozen && time.nowMicros() - frozenSinceMicros >= micros;
+    }
+
     /** It hangs: nothing on it goes on, and what comes for it waits until it does. */
     public void freeze(boolean isFrozen) {
+        if (isFrozen && !frozen) {
+            frozenSinceMicros = time.nowMicros();
+        }
         frozen = isFrozen;
-        if (!frozen) {
+        if (frozen) {
+            tasks.hung(this);
+        } else {
             expire();
             List<Runnable> held = new ArrayList<>(waiting);
             waiting.clear();
@@ -163,7 +189,7 @@
 
     private void drop(String task) {
         Bead bead = beads.remove(task);
-        if (bead != null && !bead.heat.equals("exited")) {
+        if (bead != null && !bead.heat.equals("exited") && !bead.heat.equals(FETCHING)) {
             tasks.ended(this, task);
         }
     }
@@ -197,19 +223,21 @@
         Map<String, Object> body = body();
         reports.add(body);
         caller.call(
-                new Caller.Call(controllers.get(target), "POST", "/checkin", body, 4_000_000),
+                new Caller.Call(controllers.get(target), "POST", "/checkin", body, REPORT_TIMEOUT_MICROS),
                 answer -> whenAwake(() -> {
                     inFlight = false;
                     if (!alive || sentSession != session) {
                         return;
                     }
-                    if (answer.status() == 421) {
+                    // What came while it hung is dropped when it goes on too late.
+                    boolean inTime = time.nowMicros() - sentMicros <= REPORT_TIMEOUT_MICROS;
+                    if (inTime && answer.status() == 421) {
                         String foreman = addressByName.get(Json.text(answer.body(), "foreman"));
                         target = foreman == null || foreman.equals(controllers.get(target))
                                 ? (target + 1) % controllers.size()
                                 : controllers.indexOf(foreman);
                         time.after(200_000, this::report);
-                    } else if (answer.status() == 200) {
+                    } else if (inTime && answer.status() == 200) {
                         answered(answer.body(), sentMicros);
                     } else {
                         target = (target + 1) % controllers.size();
@@ -300,16 +328,73 @@
         }
         Bead fresh = new Bead(attempt);
         beads.put(task, fresh);
-        tasks.started(this, task, attempt);
+        long fetchMicros = tasks.fetchMicros(task);
+        if (fetchMicros > 0) {
+            time.after(fetchMicros, () -> whenAwake(() -> imageThere(task, fresh)));
+        } else {
+            imageThere(task, fresh);
+        }
+        changed();
+    }
+
+    private void imageThere(String task, Bead bead) {
+        if (beads.get(task) != bead || !bead.heat.equals(FETCHING)) {
+            return;
+        }
+        boolean gathers = tasks.startsWithGang(task);
+        bead.heat = gathers ? GATHERING : RUNNING;
+        tasks.started(this, task, bead.attempt);
+        if (!gathers) {
+            runs(task, bead);
+        } else {
+            time.after(GANG_WAIT_MICROS, () -> whenAwake(() -> waitedInVain(task, bead)));
+        }
+        changed();
+    }
+
+    private void waitedInVain(String task, Bead bead) {
+        if (beads.get(task) == bead && bead.heat.equals(GATHERING)) {
+            exit(task, bead, "alone");
+        }
+    }
+
+    /** All tasks of the gang are there. */
+    void gangStarts(String task) {
+        whenAwake(() -> {
+            Bead bead = beads.get(task);
+            if (bead != null && bead.heat.equals(GATHERING)) {
+                runs(task, bead);
+                changed();
+            }
+        });
+    }
+
+    private void runs(String task, Bead bead) {
+        bead.heat = RUNNING;
         long runMicros = tasks.runMicros(task);
         if (runMicros < Long.MAX_VALUE) {
-            time.after(runMicros, () -> whenAwake(() -> finish(task, fresh, runMicros < 0 ? "error" : "done")));
+            time.after(runMicros, () -> whenAwake(() -> finish(task, bead, runMicros < 0 ? "error" : "done")));
         }
-        changed();
+    }
+
+    /** The attempt of a task that is on the machine, or 0. */
+    int attempt(String task) {
+        Bead bead = beads.get(task);
+        return bead == null || bead.heat.equals("exited") ? 0 : bead.attempt;
+    }
+
+    /** A running gang has lost a task. */
+    void matesGone(String task, int attempt) {
+        whenAwake(() -> {
+            Bead bead = beads.get(task);
+            if (bead != null && bead.attempt == attempt && bead.heat.equals(RUNNING)) {
+                exit(task, bead, "mates_gone");
+            }
+        });
     }
 
     private void finish(String task, Bead bead, String cause) {
-        if (beads.get(task) != bead || !bead.heat.equals("running")) {
+        if (beads.get(task) != bead || !bead.heat.equals(RUNNING)) {
             return;
         }
         if (cause.equals("done") && !tasks.mayComplete(task)) {
@@ -321,16 +406,22 @@
 
     /** The gang of the task is done, and so is the task. */
     public void doneWithGang(String task) {
-        Bead bead = beads.get(task);
-        if (bead != null && bead.heat.equals("running")) {
-            exit(task, bead, "done");
-        }
+        // A machine that hangs does not end its task before it goes on.
+        whenAwake(() -> {
+            Bead bead = beads.get(task);
+            if (bead != null && bead.heat.equals(RUNNING)) {
+                exit(task, bead, "done");
+            }
+        });
     }
 
     private void exit(String task, Bead bead, String cause) {
+        boolean wasThere = !bead.heat.equals(FETCHING);
         bead.heat = "exited";
         bead.cause = cause;
-        tasks.ended(this, task);
+        if (wasThere) {
+            tasks.ended(this, task);
+        }
         if (cause.equals("done")) {
             tasks.completed(task);
         }
