--- /dev/null
+++ b/src/test/java/org/weldcourse/app/OutstandingTasksTest.java
@@ -0,0 +1,150 @@
+package org.weldcourse.app;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.weldcourse.simulation.SimulatedCluster.jobBody;
+
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.weldcourse.http.Json;
+import org.weldcourse.settings.Settings;
+import org.weldcourse.settings.Tuning;
+import org.weldcourse.simulation.FakeWorker;
+import org.weldcourse.simulation.SimulatedCluster;
+
+/**
+ * What may still be on a machine counts against its team's limit, whatever became of its job and whoever leads. The world
+ * fails a test in which a team uses more than its limit.
+ */
+class OutstandingTasksTest {
+    private static final String FIRST = "req-000001";
+    private static final String SECOND = "req-000002";
+    private static final int LIMIT = 8;
+    private static final List<Settings.Team> TEAMS = List.of(new Settings.Team("capped", 0, LIMIT, 0, 0));
+
+    private final SimulatedCluster world = new SimulatedCluster(3, 16, 32 * 1024, TEAMS, Tuning.TeamLimits.SETTINGS);
+
+    /** So many machines that hold one task each, and no others to be had. */
+    private void machines(int count) {
+        world.time.passSeconds(2);
+        for (int i = 0; i < count; i++) {
+            world.cloud.unexpected("small", i < count / 2 ? "b" : "a", false);
+        }
+        world.cloud.capacity = count;
+        world.time.passSeconds(7);
+    }
+
+    private void submit(String id, double runSeconds, Object... changes) {
+        world.runMicros.put(id, Math.round(runSeconds * 1e6));
+        Object[] all = new Object[changes.length + 6];
+        System.arraycopy(new Object[] {"crew", "capped", "cpus", 4.0, "beads", 2L}, 0, all, 0, 6);
+        System.arraycopy(changes, 0, all, 6, changes.length);
+        assertEquals(201, world.submit(world.alive().get(0), jobBody(id, all)).status());
+    }
+
+    private void awaitRunning(int tasks) {
+        for (int i = 0; i < 200 && world.runningTasks() < tasks; i++) {
+            world.time.pass(50_000);
+        }
+        assertEquals(tasks, world.runningTasks());
+    }
+
+    private void killLeaderAndAwaitNext() {
+        world.killNode(world.leader());
+        for (int i = 0; i < 200 && world.leader() == null; i++) {
+            world.time.pass(100_000);
+        }
+        assertNotNull(world.leader());
+    }
+
+    /**
+     * When one task of a gang is done, all of them are, and the job is over. But one whose machine hangs is on it until it
+     * goes on, and a leader that was elected meanwhile has to count it.
+     */
+    @Test
+    void theTaskOfAGangThatIsOverCountsWhileItsMachineHangs() {
+        machines(4);
+        submit(FIRST, 20, "shape", "ensemble");
+        awaitRunning(2);
+        world.time.passSeconds(19.5);
+        FakeWorker hangs = world.whereIs(FIRST + "/1");
+        hangs.freeze(true);
+        world.cloud.down(true);
+        assertTrue(world.reaches(world.alive().get(0), FIRST, "done", 3), "the user is told in time");
+        assertEquals(List.of(FIRST + "/1"), hangs.present());
+        killLeaderAndAwaitNext();
+        submit(SECOND, 20);
+        world.time.passSeconds(30);
+        assertEquals(2, world.runningTasks(), "the one that may be there, and one more");
+        hangs.freeze(false);
+        assertTrue(world.reaches(world.alive().get(0), SECOND, "done", 60));
+        assertFalse(hangs.present().contains(FIRST + "/1"));
+    }
+
+    /**
+     * A task that no record explains, as an earlier version could leave one behind, is there until evidence says otherwise:
+     * here its machine hangs right after it has said so.
+     */
+    @Test
+    void aTaskWithoutABookingCountsUntilItIsGone() {
+        machines(4);
+        submit(FIRST, 60, "yard", "a");
+        awaitRunning(2);
+        FakeWorker hangs = world.whereIs(FIRST + "/1");
+        submit(SECOND, 20, "rank", "urgent", "yard", "b");
+        world.time.passSeconds(2);
+        assertEquals(2, world.runningTasks(), "the limit is reached");
+        world.state.plant("slices/" + FIRST + "/0", Map.of("last", 1, "n", 9, "machines", Map.of()));
+        long token = hangs.token();
+        List<String> withFirst = List.of(
+                hangs.machine().name(), world.whereIs(FIRST + "/0").machine().name());
+        List<String> others = world.workers.keySet().stream()
+                .filter(machine -> !withFirst.contains(machine))
+                .toList();
+        withFirst.forEach(world::mute);
+        killLeaderAndAwaitNext();
+        for (int i = 0; i < 400 && world.state.keys("slices/" + SECOND).isEmpty(); i++) {
+            world.time.pass(10_000);
+        }
+        others.forEach(world::mute);
+        withFirst.forEach(world::heal);
+        for (int i = 0; i < 10_000 && !saysToken(hangs, token + 1); i++) {
+            world.time.pass(500);
+        }
+        hangs.freeze(true);
+        world.cloud.down(true);
+        others.forEach(world::heal);
+        world.time.passSeconds(6);
+        assertEquals(List.of(FIRST + "/1"), hangs.present(), "it is there still");
+        assertTrue(world.runningTasks() <= 2, "and no more than one task besides");
+        hangs.freeze(false);
+        world.cloud.down(false);
+        assertTrue(world.reaches(world.alive().get(0), SECOND, "done", 90));
+        assertTrue(world.reaches(world.alive().get(0), FIRST, "done", 200));
+    }
+
+    private static boolean saysToken(FakeWorker worker, long token) {
+        List<Map<String, Object>> reports = worker.reports();
+        return Json.integer(reports.get(reports.size() - 1), "torch", 0) >= token;
+    }
+
+    /** Where an admission can't be read, what it admitted may be anywhere: all of its job counts. */
+    @Test
+    void aJobWhoseAdmissionCanNotBeReadCountsWhole() {
+        machines(4);
+        submit(FIRST, 60);
+        awaitRunning(2);
+        FakeWorker hangs = world.whereIs(FIRST + "/1");
+        hangs.freeze(true);
+        world.cloud.down(true);
+        world.state.garble("slices/" + FIRST + "/0", Map.of("machines", Map.of("m-000000", "nonsense")));
+        killLeaderAndAwaitNext();
+        submit(SECOND, 20);
+        world.time.passSeconds(8);
+        assertEquals(List.of(FIRST + "/1"), hangs.present(), "it is there still");
+        assertEquals("queued", world.poll(world.alive().get(0), SECOND).state());
+    }
+}
--- a/src/test/java/org/weldcourse/simulation/SimulatedCluster.java
+++ b/src/test/java/org/weldcourse/simulation/SimulatedCluster.java
@@ -384,6 +384,23 @@
         stills.get(node).run(() -> controller.handle(request, reply));
     }
 
+    /** Asks for the cancellation of a job without waiting for the answer. */
+    public void withdrawSoon(String node, String id) {
+        String before = rules.told(id);
+        Server.Request request = new Server.Request("POST", "/v1/jobs/" + id + "/withdraw", new byte[0]);
+        Controller controller = controllers.get(node);
+        Server.Reply reply = (status, body, retryAfterSeconds) ->
+                heed(id, before, new Answer(status, Json.objectOrEmpty(Json.bytes(body)), retryAfterSeconds));
+        stills.get(node).run(() -> controller.handle(request, reply));
+    }
+
+    /** Sends something to a node without heeding the answer. */
+    public void tellSoon(String node, String path, Map<String, Object> body) {
+        Server.Request request = new Server.Request("POST", path, Json.bytes(body));
+        Controller controller = controllers.get(node);
+        stills.get(node).run(() -> controller.handle(request, (status, answer, retryAfterSeconds) -> {}));
+    }
+
     /** A client of the state service that is no controller. */
     public Store storeOf(String client) {
         return new Store(net.caller(client), time, STATE);
