--- a/src/main/java/org/weldcourse/admission/ClusterState.java
+++ b/src/main/java/org/weldcourse/admission/ClusterState.java
@@ -5,11 +5,10 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.weldcourse.jobs.JobSpec;
-import org.weldcourse.quota.Amount;
 import org.weldcourse.workers.Report;
 import org.weldcourse.workers.TaskName;
 
@@ -29,36 +28,16 @@
     public final RunTimes runTimes = new RunTimes();
     /** Where a task was last reported on a machine and not exited. */
     private final Map<TaskName, Machine> present = new HashMap<>();
-    /** What each team's bookings take, kept as they come and go: no cycle has to add them all up. */
-    private final Map<String, Use> uses = new HashMap<>();
-
-    /** A team's use in millionths, since sums of decimals would drift over the days. */
-    private static final class Use {
-        long cpus;
-        long gpus;
-
-        void add(JobSpec spec, int times) {
-            cpus += times * Math.round(spec.cpus() * 1e6);
-            gpus += times * Math.round(spec.gpus() * 1e6);
-        }
-    }
-
-    /** The CPUs that a team's bookings take, whether or not their tasks run yet. */
-    public double usedCpus(String team) {
-        Use use = uses.get(team);
-        return use == null ? 0 : use.cpus / 1e6;
-    }
-
-    /** The GPUs that a team's bookings take. */
-    public double usedGpus(String team) {
-        Use use = uses.get(team);
-        return use == null ? 0 : use.gpus / 1e6;
-    }
-
-    /** All that a team's bookings take. */
-    public Amount used(String team) {
-        Use use = uses.get(team);
-        return use == null ? Amount.ZERO : new Amount(use.cpus, use.gpus);
+    /** What counts against each team's limit, kept as it comes and goes: no cycle has to add it all up. */
+    public final TeamAccounts accounts = new TeamAccounts();
+    /** Jobs that are over while some of their tasks are still booked. */
+    final Map<String, Job> outstandingJobs = new HashMap<>();
+    /** Tasks on machines whose job nobody here knows. */
+    private int unknownTasks;
+
+    /** How many tasks are on machines whose job is not known, so that no team can be charged for them. */
+    public int unknownTasks() {
+        return unknownTasks;
     }
 
     /** The machine of this name, which becomes known with this call if it is not. */
@@ -74,34 +53,36 @@
         job.lastAttempt = Math.max(job.lastAttempt, attempt);
         Booking earlier = machine.bookings.put(booking.name, booking);
         if (earlier != null) {
-            count(earlier, -1);
+            // What it stood for counts on: nothing has shown that it is gone.
+            LOG.error(
+                    "{} attempt {} is booked over attempt {} on {}",
+                    booking.name,
+                    attempt,
+                    earlier.attempt,
+                    machine.name);
         }
-        count(booking, 1);
+        accounts.booked(job.spec);
         machine.touch();
         return booking;
     }
 
-    private void count(Booking booking, int times) {
-        JobSpec spec = booking.job.spec;
-        uses.computeIfAbsent(spec.team(), team -> new Use()).add(spec, times);
-    }
-
     /** Takes a booking off its machine and its job, without a word on what became of the task. */
     public void drop(Booking booking) {
         booking.job.bookings.remove(booking.task);
         if (booking.machine.bookings.remove(booking.name, booking)) {
-            count(booking, -1);
+            accounts.released(booking.job.spec);
             booking.machine.touch();
         }
     }
 
     /** There is evidence that the task is not on the machine, or it was never told to run there. */
-    public void free(Booking booking, long nowMicros) {
+    public void free(Booking booking, Evidence evidence, long nowMicros) {
         Machine machine = booking.machine;
         Job job = booking.job;
         if (machine.bookings.remove(booking.name, booking)) {
-            count(booking, -1);
+            accounts.released(job.spec);
             machine.touch();
+            LOG.debug("{} attempt {} is free of {}: {}", booking.name, booking.attempt, machine.name, evidence);
         }
         if (machine.bookings.isEmpty()) {
             machine.idleSinceMicros = nowMicros;
@@ -171,7 +152,44 @@
             }
             default -> LOG.debug("{} attempt {} ended on {}: {}", booking.name, booking.attempt, machine.name, cause);
         }
-        free(booking, nowMicros);
+        free(booking, Evidence.EXITED, nowMicros);
+    }
+
+    /** Takes note of the tasks that a report lists and no booking explains, in place of those of the report before it. */
+    public void unexplained(Machine machine, List<Report.Task> tasks) {
+        machine.strangers.clear();
+        machine.strangers.addAll(tasks);
+        if (tasks.isEmpty() && machine.unexplained.isEmpty()) {
+            return;
+        }
+        forgetUnexplained(machine);
+        for (Report.Task task : tasks) {
+            Job job = knownJob(task.name().job());
+            machine.unexplained.add(Optional.ofNullable(job));
+            if (job == null) {
+                unknownTasks++;
+            } else {
+                job.unexplainedTasks++;
+                accounts.unexplained(job.spec);
+            }
+        }
+    }
+
+    private Job knownJob(String id) {
+        Job open = jobs.get(id);
+        return open == null ? outstandingJobs.get(id) : open;
+    }
+
+    private void forgetUnexplained(Machine machine) {
+        for (Optional<Job> job : machine.unexplained) {
+            if (job.isEmpty()) {
+                unknownTasks--;
+            } else {
+                job.get().unexplainedTasks--;
+                accounts.unexplainedGone(job.get().spec);
+            }
+        }
+        machine.unexplained.clear();
     }
 
     /** Notes what a report shows to be on the machine, in place of what the one before it showed. */
@@ -198,8 +216,9 @@
     public void gone(Machine machine, long nowMicros) {
         machines.remove(machine.name);
         machine.present.forEach(gone -> present.remove(gone, machine));
+        forgetUnexplained(machine);
         for (Booking booking : new ArrayList<>(machine.bookings.values())) {
-            free(booking, nowMicros);
+            free(booking, Evidence.MACHINE_RETURNED, nowMicros);
         }
     }
 }
--- a/src/main/java/org/weldcourse/admission/Job.java
+++ b/src/main/java/org/weldcourse/admission/Job.java
@@ -28,6 +28,11 @@
     public final Map<String, Long> records = new TreeMap<>();
 
     public final Set<String> badMachines = new HashSet<>();
+    /** Tasks of it that machines list and no booking explains. */
+    int unexplainedTasks;
+    /** When all of its tasks were first found to be done, or -1. */
+    long doneSinceMicros = -1;
+
     public long version;
     public boolean cancelled;
     public int lastAttempt;
@@ -43,6 +48,9 @@
     public long savedMicros;
     public boolean closing;
     public boolean closed;
+    /** What may still be on machines although the job is over is on record. */
+    boolean isOutstandingOnRecord;
+
     /** Its record is being read again; until then nothing is decided about it. */
     public boolean stale;
 
@@ -54,6 +62,11 @@
         pending.set(0, spec.tasks());
     }
 
+    /** Whether some of its tasks may still be on machines. */
+    boolean mayBeOnMachines() {
+        return !bookings.isEmpty() || unexplainedTasks > 0;
+    }
+
     /** Whether all of its tasks have finished. */
     public boolean allDone() {
         return done.cardinality() == spec.tasks();
--- a/src/main/java/org/weldcourse/admission/JobCloser.java
+++ b/src/main/java/org/weldcourse/admission/JobCloser.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.weldcourse.http.Json;
@@ -20,9 +21,11 @@
     private final Timers timers;
     private final GuardedCommits commits;
     private final int txnOps;
+    private final int valueBytes;
     private final Recorder.Events events;
 
-    JobCloser(Store store, Timers timers, GuardedCommits commits, int txnOps, Recorder.Events events) {
+    JobCloser(Store store, Timers timers, GuardedCommits commits, int txnOps, int valueBytes, Recorder.Events events) {
+        this.valueBytes = valueBytes;
         this.store = store;
         this.timers = timers;
         this.commits = commits;
@@ -30,11 +33,19 @@
         this.events = events;
     }
 
-    /** Moves a job that is over to its final record; the rest of its records follow in their own time. */
+    /**
+     * Moves a job that is over to its final record; the rest of its records follow in their own time. What may still be on
+     * machines is put on a record of its own in the same transaction, so that the next leader counts it too.
+     */
     void close(Job job) {
         if (job.closing || job.closed || job.recording) {
             return;
         }
+        Map<String, Object> outstanding = job.bookings.isEmpty() ? null : OutstandingRecord.of(job, valueBytes);
+        if (outstanding == null && !job.bookings.isEmpty()) {
+            // Too large to be kept: the job ends once there is evidence that nothing of it is left.
+            return;
+        }
         job.closing = true;
         String id = job.spec.id();
         String state = job.cancelled ? "cancelled" : "done";
@@ -42,6 +53,10 @@
                 .guard(Keys.open(id), job.version)
                 .delete(Keys.open(id))
                 .put(Keys.done(id), Json.of("heat", state, "done", job.done.cardinality()));
+        if (outstanding != null) {
+            job.isOutstandingOnRecord = true;
+            txn.put(Keys.outstanding(id), outstanding);
+        }
         // Bookkeeping is left for quieter times.
         List<String> rest = new ArrayList<>(job.records.keySet());
         commits.send(txn, (commit, unclear) -> {
--- a/src/main/java/org/weldcourse/admission/LeaderWarmUp.java
+++ b/src/main/java/org/weldcourse/admission/LeaderWarmUp.java
@@ -143,7 +143,9 @@
         sequence = 0;
         cluster = new ClusterState();
         outlook = new SnapshotBuilder(cluster, settings, new SettingsLimits(cluster, settings));
-        reconciler = new Reconciler(cluster, TOKEN, settings.workers().leaseMicros(), team -> false);
+        TeamLimits limits = new SettingsLimits(cluster, settings);
+        StartGate gate = new StartGate(cluster, limits, new StartCounts());
+        reconciler = new Reconciler(cluster, TOKEN, settings.workers().leaseMicros(), gate);
         recorder = new Recorder(nowhere, clock, timers, settings.state(), 1, new Recorder.Events() {
             @Override
             public void recorded(Job job) {}
--- a/src/main/java/org/weldcourse/admission/LimitAccounts.java
+++ b/src/main/java/org/weldcourse/admission/LimitAccounts.java
@@ -51,7 +51,7 @@
         if (limit == null) {
             return;
         }
-        Amount certain = cluster.used(team).plus(book.budgets(team));
+        Amount certain = cluster.accounts.countedAgainst(team).plus(book.budgets(team));
         teamRooms.put(team, new LimitRoom(limit.team().limit(), certain));
         CohortLimit cohort = limit.cohort();
         if (cohort == null) {
@@ -70,7 +70,7 @@
         Amount sum = Amount.ZERO;
         for (Settings.Team team : settings.teams()) {
             if (ledger.limit(team.name()) == null && ledger.mayBelongTo(team.name(), cohort)) {
-                sum = sum.plus(cluster.used(team.name()));
+                sum = sum.plus(cluster.accounts.countedAgainst(team.name()));
             }
         }
         return sum;
@@ -156,7 +156,7 @@
         }
         boolean awaitsRecord = ledgerIsRead && ledger.limit(name) == null && !ledger.isUnreadable(name);
         return awaitsRecord
-                ? new TeamView(team, cluster.usedCpus(name), cluster.usedGpus(name))
+                ? TeamView.of(team, cluster.accounts.countedAgainst(name))
                 : new TeamView(team, Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY);
     }
 
--- a/src/main/java/org/weldcourse/admission/Machine.java
+++ b/src/main/java/org/weldcourse/admission/Machine.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import org.weldcourse.fleet.MachineType;
 import org.weldcourse.jobs.JobSpec;
@@ -49,6 +50,9 @@
     /** What the last report listed that no booking explains; it holds room until it exits. */
     public final List<Report.Task> strangers = new ArrayList<>();
 
+    /** The jobs of those tasks as far as they are known. */
+    final List<Optional<Job>> unexplained = new ArrayList<>();
+
     public final Set<String> jobsFailed = new HashSet<>();
     public int donesSinceError;
     /** Exited tasks of the last report that the worker was not yet told to forget. */
--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/OutstandingRecord.java
@@ -0,0 +1,48 @@
+package org.weldcourse.admission;
+
+import java.util.Map;
+import org.weldcourse.http.Json;
+import org.weldcourse.jobs.JobCodec;
+import org.weldcourse.jobs.JobSpec;
+import org.weldcourse.jobs.Keys;
+import org.weldcourse.jobs.SliceCodec;
+
+/**
+ * The record of tasks that may still be on machines while their job is over: the job's description and where its tasks were
+ * admitted. It is written with the end of the job, and deleted once there is evidence that the tasks are gone, so that every
+ * leader in between counts them. Versions that don't know of it leave it alone.
+ */
+final class OutstandingRecord {
+    private static final long NEVER_OPEN = 0;
+
+    private OutstandingRecord() {}
+
+    /** The record of a job that ends while some of its tasks are booked, or null when it is larger than can be kept. */
+    static Map<String, Object> of(Job job, int mostBytes) {
+        SliceCodec.Admitted admitted = new SliceCodec.Admitted();
+        job.bookings.values().forEach(booking -> admitted.add(booking.machine.name, booking.attempt, booking.task));
+        Map<String, Object> record = JobCodec.record(job.spec, 0, job.cancelled);
+        JobCodec.shorten(record);
+        record.putAll(SliceCodec.record(admitted, job.lastAttempt, 0, null));
+        return Json.bytes(record).length <= mostBytes ? record : null;
+    }
+
+    /** Books again what the record says may be on machines; all of it is to stop. */
+    static Job restore(ClusterState cluster, Map<String, Object> record, long nowMicros) throws JobCodec.Malformed {
+        JobSpec spec = JobCodec.spec(record);
+        Job job = new Job(spec, NEVER_OPEN, nowMicros);
+        job.closed = true;
+        job.isOutstandingOnRecord = true;
+        job.pending.clear();
+        job.done.set(0, spec.tasks());
+        SliceCodec.visit(record, (machine, attempt, first, last) -> {
+            for (int task = first; task <= last && task < spec.tasks(); task++) {
+                Booking booking = cluster.book(job, task, attempt, cluster.machine(machine, nowMicros), nowMicros);
+                booking.persisted = true;
+                booking.record = Keys.outstanding(spec.id());
+                booking.requestStop(0);
+            }
+        });
+        return job;
+    }
+}
--- a/src/main/java/org/weldcourse/admission/RecordReader.java
+++ b/src/main/java/org/weldcourse/admission/RecordReader.java
@@ -1,10 +1,8 @@
 package org.weldcourse.admission;
 
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.weldcourse.jobs.JobCodec;
@@ -31,8 +29,7 @@
     private final Recorder recorder;
     private final RenewalBound renewals;
     private final Listener listener;
-    /** Open jobs whose own record can't be read: what else is on record of them is left as it is. */
-    private final Set<String> unreadable = new HashSet<>();
+    private final UnreadableRecords unreadable;
 
     /** The records of open jobs were read up to this revision. */
     private long openRevision;
@@ -42,8 +39,8 @@
 
     /** What the term is told. */
     interface Listener {
-        /** All records were read, so many besides those of open jobs. */
-        void loaded(int records);
+        /** All records were read, so many besides those of open jobs, as of this revision or a later one. */
+        void loaded(int records, long revision);
 
         /** An open job became known. */
         void jobSeen(JobSpec job);
@@ -69,6 +66,7 @@
         this.recorder = recorder;
         this.renewals = renewals;
         this.listener = listener;
+        this.unreadable = new UnreadableRecords(cluster);
     }
 
     /** Nothing that is still under way counts any more. */
@@ -102,17 +100,36 @@
         }
         store.list(
                 Keys.SLICES,
-                slices -> store.list(Keys.DONE_TASKS, done -> {
-                    if (ended) {
-                        return;
-                    }
-                    if (slices.outcome() != Outcome.OK || done.outcome() != Outcome.OK) {
-                        timers.after(RETRY_MICROS, this::loadRecords);
-                        return;
-                    }
-                    restore(slices.entries(), done.entries());
-                    listener.loaded(slices.entries().size() + done.entries().size());
-                }));
+                slices -> store.list(
+                        Keys.DONE_TASKS,
+                        done -> store.list(Keys.OUTSTANDING, outstanding -> recordsRead(slices, done, outstanding))));
+    }
+
+    private void recordsRead(Store.Listing slices, Store.Listing done, Store.Listing outstanding) {
+        if (ended) {
+            return;
+        }
+        if (slices.outcome() != Outcome.OK || done.outcome() != Outcome.OK || outstanding.outcome() != Outcome.OK) {
+            timers.after(RETRY_MICROS, this::loadRecords);
+            return;
+        }
+        restore(slices.entries(), done.entries());
+        outstanding.entries().forEach(this::restoreOutstanding);
+        unreadable.allRead();
+        int records = slices.entries().size()
+                + done.entries().size()
+                + outstanding.entries().size();
+        listener.loaded(records, slices.revision());
+    }
+
+    /** What may still be on machines of a job that is over counts and is stopped, as under the leader before. */
+    private void restoreOutstanding(Store.Entry entry) {
+        try {
+            Job job = OutstandingRecord.restore(cluster, entry.value(), clock.nowMicros());
+            cluster.outstandingJobs.put(job.spec.id(), job);
+        } catch (RuntimeException | JobCodec.Malformed why) {
+            unreadable.outstanding(entry.key(), entry.value(), why);
+        }
     }
 
     private void openRead(Store.Listing open, long sentMicros) {
@@ -164,7 +181,9 @@
             Job job = cluster.jobs.get(id);
             if (job != null) {
                 restore(job, entry, () -> recorder.restore(job, entry));
-            } else if (!unreadable.contains(id)) {
+            } else if (unreadable.isOpenJob(id)) {
+                unreadable.admissionOfOpenJob(id);
+            } else {
                 orphans.add(entry.key());
             }
         }
@@ -184,13 +203,11 @@
         recorder.sweep(orphans);
     }
 
-    /** Where a record can't be read, nobody knows what runs where: the job stays known, and nothing is decided about it. */
-    private static void restore(Job job, Store.Entry entry, Runnable read) {
+    private void restore(Job job, Store.Entry entry, Runnable read) {
         try {
             read.run();
-        } catch (RuntimeException unreadable) {
-            LOG.error("{}: can't be read, so that nothing is done for its job: {}", entry.key(), unreadable.toString());
-            job.stale = true;
+        } catch (RuntimeException why) {
+            unreadable.admission(job, entry.key(), why);
         }
     }
 
@@ -287,14 +304,17 @@
     private void jobWritten(String key, Map<String, Object> value, long version) {
         String id = Keys.jobOf(key);
         Job job = cluster.jobs.get(id);
+        if (job == null && cluster.outstandingJobs.containsKey(id)) {
+            // The watch lags behind the job's end.
+            return;
+        }
         if (job == null) {
             try {
                 JobSpec spec = JobCodec.spec(value);
                 long ageMicros = Math.max(0, clock.wallMicros() - JobCodec.acceptedWallMicros(value));
                 job = new Job(spec, version, clock.nowMicros() - ageMicros);
             } catch (JobCodec.Malformed malformed) {
-                LOG.error("{}: its record can't be read: {}", id, malformed.getMessage());
-                unreadable.add(id);
+                unreadable.openJob(id, key, value, malformed);
                 return;
             }
             cluster.jobs.put(id, job);
--- a/src/main/java/org/weldcourse/admission/RecordedLimits.java
+++ b/src/main/java/org/weldcourse/admission/RecordedLimits.java
@@ -227,31 +227,57 @@
         return limits;
     }
 
-    private Amount usedBy(CohortLimit cohort) {
+    /** What a team has taken of its limits, in one of the two senses of {@link TeamAccounts}. */
+    private interface Taken {
+        Amount by(String team);
+    }
+
+    private Amount takenBy(CohortLimit cohort, Taken taken) {
         Amount sum = Amount.ZERO;
         for (LimitInForce member : members(cohort)) {
-            sum = sum.plus(cluster.used(member.team().team()));
+            sum = sum.plus(taken.by(member.team().team()));
         }
         return sum;
     }
 
+    private Amount countedAgainst(CohortLimit cohort) {
+        return takenBy(cohort, cluster.accounts::countedAgainst);
+    }
+
     private boolean isOverOwnLimit(LimitInForce limit) {
         return QuotaRule.isExceeded(
-                limit.team().limit(), cluster.used(limit.team().team()));
+                limit.team().limit(),
+                cluster.accounts.countedAgainst(limit.team().team()));
     }
 
     private boolean isOver(CohortLimit cohort) {
-        return QuotaRule.isExceeded(cohort.limit(), usedBy(cohort));
+        return QuotaRule.isExceeded(cohort.limit(), countedAgainst(cohort));
+    }
+
+    @Override
+    public boolean isOverbooked(String team) {
+        return isExceeded(team, cluster.accounts::bookedBy);
     }
 
     @Override
     public boolean isExceeded(String team) {
+        return isExceeded(team, cluster.accounts::countedAgainst);
+    }
+
+    private boolean isExceeded(String team, Taken taken) {
         LimitInForce limit = ledger.limit(team);
         if (limit == null) {
             return false;
         }
         CohortLimit cohort = limit.cohort();
-        return isOverOwnLimit(limit) || cohort != null && isOver(cohort);
+        return QuotaRule.isExceeded(limit.team().limit(), taken.by(team))
+                || cohort != null && QuotaRule.isExceeded(cohort.limit(), takenBy(cohort, taken));
+    }
+
+    @Override
+    public Amount limit(String team) {
+        LimitInForce limit = ledger.limit(team);
+        return limit == null ? Amount.NO_LIMIT : limit.team().limit();
     }
 
     @Override
@@ -261,12 +287,13 @@
         for (LimitInForce limit : limits()) {
             String team = limit.team().team();
             if (isOverOwnLimit(limit)) {
-                Amount over = cluster.used(team).minus(limit.team().limit());
+                Amount over =
+                        cluster.accounts.countedAgainst(team).minus(limit.team().limit());
                 addOver(text, "team " + team, over, limit.team().overLimit());
             }
             CohortLimit cohort = limit.cohort();
             if (cohort != null && cohortsSeen.add(cohort.name()) && isOver(cohort)) {
-                Amount over = usedBy(cohort).minus(cohort.limit());
+                Amount over = countedAgainst(cohort).minus(cohort.limit());
                 addOver(text, "cohort " + cohort.name(), over, cohort.overLimit());
             }
         }
--- a/src/main/java/org/weldcourse/admission/Recorder.java
+++ b/src/main/java/org/weldcourse/admission/Recorder.java
@@ -74,7 +74,7 @@
         this.timers = timers;
         this.events = events;
         this.commits = new GuardedCommits(store, clock, timers, limits, epochVersion, events::outdated);
-        this.closer = new JobCloser(store, timers, commits, limits.safeTxnOps(), events);
+        this.closer = new JobCloser(store, timers, commits, limits.safeTxnOps(), limits.safeValueBytes(), events);
         this.valueBytes = limits.safeValueBytes();
         this.txnOps = limits.safeTxnOps();
         this.plainShardTasks = shardTasks(limits.valueBytes());
--- a/src/main/java/org/weldcourse/admission/SettingsLimits.java
+++ b/src/main/java/org/weldcourse/admission/SettingsLimits.java
@@ -28,7 +28,7 @@
     public List<TeamView> views(long nowMicros) {
         List<TeamView> teams = new ArrayList<>();
         for (Settings.Team team : settings.teams()) {
-            teams.add(new TeamView(team, cluster.usedCpus(team.name()), cluster.usedGpus(team.name())));
+            teams.add(TeamView.of(team, cluster.accounts.countedAgainst(team.name())));
         }
         return teams;
     }
@@ -64,10 +64,19 @@
         return List.of();
     }
 
+    @Override
+    public boolean isOverbooked(String team) {
+        return QuotaRule.isExceeded(limit(team), cluster.accounts.bookedBy(team));
+    }
+
     @Override
     public boolean isExceeded(String team) {
-        Amount limit = limits.get(team);
-        return limit != null && QuotaRule.isExceeded(limit, cluster.used(team));
+        return QuotaRule.isExceeded(limit(team), cluster.accounts.countedAgainst(team));
+    }
+
+    @Override
+    public Amount limit(String team) {
+        return limits.getOrDefault(team, Amount.NO_LIMIT);
     }
 
     @Override
--- /dev/null
+++ b/src/main/java/org/weldcourse/admission/TeamAccounts.java
@@ -0,0 +1,81 @@
+package org.weldcourse.admission;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import org.weldcourse.jobs.JobSpec;
+import org.weldcourse.quota.Amount;
+
+/**
+ * What counts against each team's limit, each until there is evidence that nothing of it is left: bookings, also of jobs that
+ * are over; tasks on machines that no booking explains; and what a record that can't be read may have admitted. Planner,
+ * starts and limits on record all ask here.
+ */
+public final class TeamAccounts {
+    /** More than any limit, where a record can't be read and nobody knows how much it admitted. */
+    private static final Amount ANY_AMOUNT = Amount.of(1e9, 1e9);
+
+    private final Map<String, Amount> bookedByTeam = new HashMap<>();
+    private final Map<String, Amount> unexplainedByTeam = new HashMap<>();
+    private final Map<String, Amount> unreadableByTeam = new HashMap<>();
+    private final Set<String> fullTeams = new HashSet<>();
+    private boolean allTeamsFull;
+
+    static Amount perTask(JobSpec spec) {
+        return Amount.of(spec.cpus(), spec.gpus());
+    }
+
+    /** A task was booked. */
+    void booked(JobSpec spec) {
+        bookedByTeam.merge(spec.team(), perTask(spec), Amount::plus);
+    }
+
+    /** There is evidence that nothing is left of a booked task. */
+    void released(JobSpec spec) {
+        bookedByTeam.merge(spec.team(), perTask(spec), Amount::minus);
+    }
+
+    /** A machine lists a task that no booking explains. */
+    void unexplained(JobSpec spec) {
+        unexplainedByTeam.merge(spec.team(), perTask(spec), Amount::plus);
+    }
+
+    /** A machine lists such a task no more. */
+    void unexplainedGone(JobSpec spec) {
+        unexplainedByTeam.merge(spec.team(), perTask(spec), Amount::minus);
+    }
+
+    /** So many tasks of a job may be anywhere: what was admitted of it can't be read. */
+    void unreadable(JobSpec spec, int tasks) {
+        unreadableByTeam.merge(spec.team(), perTask(spec).times(tasks), Amount::plus);
+    }
+
+    /** Tasks of a job that can't be read were admitted; {@code team} is null where not even that is known. */
+    void unreadableJob(String team) {
+        if (team == null) {
+            allTeamsFull = true;
+        } else {
+            fullTeams.add(team);
+        }
+    }
+
+    /** What the team's bookings take, whether or not their tasks run yet. */
+    public Amount bookedBy(String team) {
+        return bookedByTeam.getOrDefault(team, Amount.ZERO);
+    }
+
+    /** What counts against the team's limit without being booked. */
+    public Amount notBookedBy(String team) {
+        if (allTeamsFull || fullTeams.contains(team)) {
+            return ANY_AMOUNT;
+        }
+        Amount unexplained = unexplainedByTeam.getOrDefault(team, Amount.ZERO);
+        return unexplained.plus(unreadableByTeam.getOrDefault(team, Amount.ZERO));
+    }
+
+    /** All that counts against the team's limit. */
+    public Amount countedAgainst(String team) {
+        return bookedBy(team).plus(notBookedBy(team));
+    }
+}
--- a/src/main/java/org/weldcourse/admission/TeamLimits.java
+++ b/src/main/java/org/weldcourse/admission/TeamLimits.java
@@ -3,10 +3,11 @@
 import java.util.List;
 import java.util.Map;
 import org.weldcourse.admission.Snapshot.TeamView;
+import org.weldcourse.quota.Amount;
 import org.weldcourse.store.Transaction;
 
 /** Where a leader takes the teams' limits from, and what has to hold for an admission to be written. */
-interface TeamLimits {
+interface TeamLimits extends StartGate.Limits {
     /** The term begins. */
     void begin();
 
@@ -37,8 +38,13 @@
     /** Tasks that have to stop, since their team runs more than its limit. */
     List<Booking> overLimit();
 
-    /** Whether the team's bookings exceed its limit, as far as that is known. */
-    boolean isExceeded(String team);
+    /** The team's limit, or one that limits nothing. */
+    Amount limit(String team);
+
+    @Override
+    default String limitText(String team) {
+        return limit(team).toString();
+    }
 
     /** Which teams are above their limits, for operators; empty when none is. */
     String status();
--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -59,8 +59,10 @@
     private final RecordReader reader;
     private final DirectOrders directOrders;
     private final TaskStops stops;
+    private final JobEndings endings;
 
     private boolean loaded;
+    private long recordsRevision;
     private long nextStatusMicros;
     private long earliestCycleMicros;
     private int waitingByQuota;
@@ -77,7 +79,8 @@
             Leadership leadership,
             MachineTypesTask types,
             Outage outage,
-            Optional<RecordedTeamLimits> recordedLimits) {}
+            Optional<RecordedTeamLimits> recordedLimits,
+            StartCounts startCounts) {}
 
     /** Team limits on record: the ledger, and how budgets are planned. */
     public record RecordedTeamLimits(LimitLedger ledger, BudgetPlanner planner) {}
@@ -103,8 +106,9 @@
                 .map(recorded -> recordedLimits(recorded, epochVersion))
                 .orElseGet(() -> new SettingsLimits(cluster, parts.settings()));
         this.outlook = new SnapshotBuilder(cluster, parts.settings(), limits);
+        StartGate gate = new StartGate(cluster, limits, parts.startCounts());
         this.reconciler =
-                new Reconciler(cluster, token, parts.settings().workers().leaseMicros(), limits::isExceeded);
+                new Reconciler(cluster, token, parts.settings().workers().leaseMicros(), gate);
         this.fleet = new MachinePool(
                 cluster,
                 parts.cloud(),
@@ -116,6 +120,7 @@
                 parts.timers(),
                 new FleetOffice());
         this.stops = new TaskStops(cluster, parts.settings().workers().gangWaitMicros());
+        this.endings = new JobEndings(cluster, recorder, limits, stops, this::wakeIn);
         this.directOrders = new DirectOrders(
                 cluster, reconciler, parts.caller(), token, parts.settings().directSockets());
         this.reader = new RecordReader(
@@ -166,13 +171,15 @@
     /** Takes note of what is read of the records. */
     private final class Reading implements RecordReader.Listener {
         @Override
-        public void loaded(int records) {
+        public void loaded(int records, long revision) {
             loaded = true;
+            recordsRevision = revision;
             LOG.info(
-                    "token {}: took over {} open jobs, {} records, {} ms after its election",
+                    "token {}: took over {} open jobs, {} records as of revision {}, {} ms after its election",
                     token,
                     cluster.jobs.size(),
                     records,
+                    revision,
                     (clock.nowMicros() - startedMicros) / 1000);
             wakeIn(0);
         }
@@ -293,9 +300,7 @@
             return -1;
         }
         long nowMicros = clock.nowMicros();
-        for (Job job : new ArrayList<>(cluster.jobs.values())) {
-            tend(job, nowMicros);
-        }
+        endings.tend(nowMicros);
         for (Machine machine : cluster.machines.values()) {
             stops.drain(machine, nowMicros);
         }
@@ -319,30 +324,6 @@
         return IDLE_CYCLE_MICROS;
     }
 
-    private void tend(Job job, long nowMicros) {
-        if (job.closed) {
-            cluster.jobs.remove(job.spec.id());
-            limits.jobEnded(job);
-            return;
-        }
-        if (job.stale) {
-            return;
-        }
-        if (job.allDone()) {
-            recorder.close(job);
-        } else if (job.cancelled) {
-            cluster.evict(job, 0);
-            if (job.bookings.isEmpty()) {
-                recorder.close(job);
-            }
-        } else {
-            recorder.saveDone(job);
-            if (job.spec.gang()) {
-                stops.checkStart(job, nowMicros);
-            }
-        }
-    }
-
     private void admit(long nowMicros) {
         Decisions decisions = Planner.decide(
                 outlook.snapshot(nowMicros, fleet::soughtBy),
@@ -385,12 +366,21 @@
                     booking.machine.unsaid = true;
                 });
             } else {
-                booked.forEach(booking -> cluster.free(booking, clock.nowMicros()));
+                booked.forEach(booking -> cluster.free(booking, Evidence.NOT_ADMITTED, clock.nowMicros()));
             }
             soon();
         });
     }
 
+    /** Adds what a scrape should show of this term. */
+    public void addTo(TermMetrics metrics) {
+        metrics.term(token, loaded, recordsRevision, cluster.outstandingJobs.size(), cluster.unknownTasks());
+        for (Settings.Team team : parts.settings().teams()) {
+            String name = team.name();
+            metrics.team(name, cluster.accounts.bookedBy(name), cluster.accounts.notBookedBy(name), limits.limit(name));
+        }
+    }
+
     private List<FleetPlanner.Need> needs(List<Decisions.Waiting> waiting) {
         waitingByQuota = 0;
         for (Decisions.Waiting item : waiting) {
--- a/src/main/java/org/weldcourse/app/Controller.java
+++ b/src/main/java/org/weldcourse/app/Controller.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.weldcourse.admission.StartCounts;
 import org.weldcourse.admission.Term;
 import org.weldcourse.fleet.Cloud;
 import org.weldcourse.fleet.MachineTypesTask;
@@ -51,6 +52,7 @@
     private final Clock clock;
     private final Peers peers;
     private final StatusDuty status;
+    private final StartCounts startCounts = new StartCounts();
     private final ProcessMetrics strain = new ProcessMetrics();
     private final StoreDuty pulse;
     private Term term;
@@ -77,7 +79,18 @@
         this.status = new StatusDuty(timers);
         this.pulse = new StoreDuty(timers);
         this.parts = new Term.Parts(
-                store, cloud, caller, clock, timers, settings, tuning, leadership, types, this::isOutageShared, limits);
+                store,
+                cloud,
+                caller,
+                clock,
+                timers,
+                settings,
+                tuning,
+                leadership,
+                types,
+                this::isOutageShared,
+                limits,
+                startCounts);
     }
 
     /** Made only where they are switched on: their libraries are loaded with the first use. */
@@ -213,6 +226,8 @@
             checkin(request, reply);
         } else if (path.equals("/ready")) {
             ready(reply);
+        } else if (path.equals("/metrics")) {
+            reply.sendText(200, metrics());
         } else if (path.equals(JOBS) && post) {
             jobs.submit(request.body(), reply);
         } else if (path.startsWith(JOBS + "/")) {
@@ -229,6 +244,20 @@
         }
     }
 
+    private String metrics() {
+        ControllerMetrics metrics = new ControllerMetrics();
+        metrics.process(leadership.leads(), startCounts);
+        if (term != null) {
+            term.addTo(metrics);
+        }
+        return metrics.toString();
+    }
+
+    /** What this process counted of starts. */
+    public StartCounts startCounts() {
+        return startCounts;
+    }
+
     private void checkin(Request request, Reply reply) {
         if (term == null || !leadership.leads()) {
             String leader = leadership.leaderName();
--- a/src/main/java/org/weldcourse/http/Server.java
+++ b/src/main/java/org/weldcourse/http/Server.java
@@ -23,6 +23,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.timeout.IdleStateEvent;
 import io.netty.handler.timeout.IdleStateHandler;
+import java.nio.charset.StandardCharsets;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.slf4j.Logger;
@@ -81,6 +82,11 @@
             send(status, body, 0);
         }
 
+        /** Sends plain text; where nothing but JSON can be sent, as its one field. */
+        default void sendText(int status, String text) {
+            send(status, Json.of("text", text));
+        }
+
         /** A refusal that tells the client when to come back. */
         default void refuse(int status, String why, int retryAfterSeconds) {
             send(status, Json.of("error", why), retryAfterSeconds);
@@ -153,42 +159,20 @@
             boolean keepAlive = HttpUtil.isKeepAlive(message);
             Request request =
                     new Request(message.method().name(), message.uri(), ByteBufUtil.getBytes(message.content()));
-            Reply reply = (status, body, retryAfterSeconds) -> respond(ctx, keepAlive, status, body, retryAfterSeconds);
+            Reply reply = new HttpReply(ctx, keepAlive);
             if (message.decoderResult().isFailure()) {
-                respond(ctx, false, 400, Json.of("error", "malformed request"), 0);
+                new HttpReply(ctx, false).send(400, Json.of("error", "malformed request"));
                 return;
             }
             if (!lines.heard(ctx.channel(), handler.isWorkers(request), clock.nowMicros())) {
-                respond(ctx, false, 503, Json.of("error", "too many workers"), 1);
+                new HttpReply(ctx, false).refuse(503, "too many workers", 1);
                 return;
             }
             try {
                 handler.handle(request, reply);
             } catch (RuntimeException unexpected) {
                 LOG.error("unexpected error on {} {}", request.method(), request.path(), unexpected);
-                respond(ctx, keepAlive, 503, Json.of("error", "internal"), 1);
-            }
-        }
-
-        private void respond(
-                ChannelHandlerContext ctx,
-                boolean keepAlive,
-                int status,
-                Map<String, Object> body,
-                int retryAfterSeconds) {
-            byte[] bytes = Json.bytes(body);
-            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
-                    HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes));
-            response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
-            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
-            if (retryAfterSeconds > 0) {
-                response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterSeconds);
-            }
-            if (keepAlive) {
-                ctx.writeAndFlush(response);
-            } else {
-                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
-                ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+                reply.refuse(503, "internal", 1);
             }
         }
 
@@ -210,4 +194,43 @@
             ctx.close();
         }
     }
+
+    /** Answers one request on its connection. */
+    private static final class HttpReply implements Reply {
+        private static final String TEXT = "text/plain; version=0.0.4; charset=utf-8";
+
+        private final ChannelHandlerContext ctx;
+        private final boolean keepAlive;
+
+        HttpReply(ChannelHandlerContext ctx, boolean keepAlive) {
+            this.ctx = ctx;
+            this.keepAlive = keepAlive;
+        }
+
+        @Override
+        public void send(int status, Map<String, Object> body, int retryAfterSeconds) {
+            respond(status, HttpHeaderValues.APPLICATION_JSON, Json.bytes(body), retryAfterSeconds);
+        }
+
+        @Override
+        public void sendText(int status, String text) {
+            respond(status, TEXT, text.getBytes(StandardCharsets.UTF_8), 0);
+        }
+
+        private void respond(int status, CharSequence type, byte[] bytes, int retryAfterSeconds) {
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), Unpooled.wrappedBuffer(bytes));
+            response.headers().set(HttpHeaderNames.CONTENT_TYPE, type);
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.length);
+            if (retryAfterSeconds > 0) {
+                response.headers().set(HttpHeaderNames.RETRY_AFTER, retryAfterSeconds);
+            }
+            if (keepAlive) {
+                ctx.writeAndFlush(response);
+            } else {
+                response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+                ctx.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+            }
+        }
+    }
 }
--- a/src/main/java/org/weldcourse/jobs/JobCodec.java
+++ b/src/main/java/org/weldcourse/jobs/JobCodec.java
@@ -144,7 +144,7 @@
     }
 
     /** Leaves out of a cancelled job's record what is not needed to end it; its team and size are, for the quota. */
-    static void shorten(Map<String, Object> record) {
+    public static void shorten(Map<String, Object> record) {
         record.put("rigs", null);
         record.put("course", "-");
         record.put("blank", "-");
--- a/src/main/java/org/weldcourse/jobs/Keys.java
+++ b/src/main/java/org/weldcourse/jobs/Keys.java
@@ -6,6 +6,8 @@
     public static final String SLICES = "slices/";
     public static final String DONE_TASKS = "done/";
 
+    public static final String OUTSTANDING = "outstanding/";
+
     private Keys() {}
 
     /** The key of an open job. */
@@ -33,6 +35,11 @@
         return DONE_TASKS + id + "/" + shard;
     }
 
+    /** What may still be on machines of a job that is over. */
+    public static String outstanding(String id) {
+        return OUTSTANDING + id;
+    }
+
     /** The number that ends a key under {@code slices/} or {@code done/}. */
     public static int numberOf(String key) {
         return Integer.parseInt(key.substring(key.lastIndexOf('/') + 1));
--- a/src/main/java/org/weldcourse/quota/Amount.java
+++ b/src/main/java/org/weldcourse/quota/Amount.java
@@ -6,6 +6,9 @@
     /** Far above any sum of real amounts, and far enough from the end of the range to be added to. */
     private static final long UNLIMITED = Long.MAX_VALUE / 4;
 
+    /** A limit that limits nothing. */
+    public static final Amount NO_LIMIT = new Amount(UNLIMITED, UNLIMITED);
+
     private static final double MILLION = 1e6;
 
     /** So many CPUs and GPUs. */
--- a/src/main/java/org/weldcourse/workers/Reconciler.java
+++ b/src/main/java/org/weldcourse/workers/Reconciler.java
@@ -8,8 +8,10 @@
 import org.slf4j.LoggerFactory;
 import org.weldcourse.admission.Booking;
 import org.weldcourse.admission.ClusterState;
+import org.weldcourse.admission.Evidence;
 import org.weldcourse.admission.Job;
 import org.weldcourse.admission.Machine;
+import org.weldcourse.admission.StartGate;
 import org.weldcourse.fleet.MachineType;
 import org.weldcourse.jobs.JobSpec;
 
@@ -27,17 +29,11 @@
     private final ClusterState cluster;
     private final long token;
     private final long leaseMicros;
-    private final TeamQuota quota;
-
-    /** Which teams have more booked than their limit allows. */
-    public interface TeamQuota {
-        /** Whether the team's bookings exceed its limit. */
-        boolean isExceeded(String team);
-    }
+    private final StartGate gate;
 
     /** A reconciler for the leader with this token. */
-    public Reconciler(ClusterState cluster, long token, long leaseMicros, TeamQuota quota) {
-        this.quota = quota;
+    public Reconciler(ClusterState cluster, long token, long leaseMicros, StartGate gate) {
+        this.gate = gate;
         this.cluster = cluster;
         this.token = token;
         this.leaseMicros = leaseMicros;
@@ -90,7 +86,7 @@
             machine.answerArrived();
         }
         // A machine whose return the cloud did not confirm goes on: it starts nothing more, but what leaves it is free.
-        return new Result(orders(machine, mayStart && !machine.isDeaf() && !machine.released), changed);
+        return new Result(orders(machine, mayStart && !machine.isDeaf() && !machine.released, nowMicros), changed);
     }
 
     /**
@@ -125,7 +121,7 @@
         Set<TaskName> listed = new HashSet<>();
         boolean arrived = false;
         boolean lost = false;
-        machine.strangers.clear();
+        List<Report.Task> unexplained = new ArrayList<>();
         machine.exited.clear();
         for (Report.Task task : report.tasks()) {
             Booking booking = machine.bookings.get(task.name());
@@ -144,9 +140,10 @@
                 changed |= progress(booking, task.state(), nowMicros);
             } else {
                 LOG.info("{} attempt {} is on {} without a booking", task.name(), task.attempt(), machine.name);
-                machine.strangers.add(task);
+                unexplained.add(task);
             }
         }
+        cluster.unexplained(machine, unexplained);
         for (Booking booking : machine.bookings.values()) {
             lost |= booking.runSent && !listed.contains(booking.name);
         }
@@ -166,9 +163,10 @@
             // above its limit: what was displaced under an earlier leader is still on record beside what displaced it,
             // and
             // if the machine has forgotten its exit, it looks as if it had never been told to run.
-            boolean unwanted = booking.stop || machine.isDeaf() || quota.isExceeded(booking.job.spec.team());
+            boolean unwanted = booking.stop || machine.isDeaf() || gate.isOverbooked(booking.job.spec.team());
             if (booking.seen || booking.persisted && unwanted) {
-                cluster.free(booking, nowMicros);
+                Evidence evidence = booking.seen ? Evidence.LISTED_NO_MORE : Evidence.NEVER_LISTED;
+                cluster.free(booking, evidence, nowMicros);
                 changed = true;
             }
         }
@@ -194,7 +192,7 @@
         return false;
     }
 
-    private List<Order> orders(Machine machine, boolean mayStart) {
+    private List<Order> orders(Machine machine, boolean mayStart, long nowMicros) {
         List<Order> orders = new ArrayList<>();
         List<Order> forgets = forgets(machine);
         orders.addAll(forgets.subList(0, Math.min(forgets.size(), MOST_ORDERS / 4)));
@@ -227,32 +225,20 @@
             }
         }
         if (mayStart && machine.type != null) {
-            run(machine, orders, cpus, gpus, memoryGb);
+            run(machine, orders, cpus, gpus, memoryGb, nowMicros);
         }
         return orders;
     }
 
-    private void run(Machine machine, List<Order> orders, double cpus, double gpus, double memoryGb) {
+    private void run(Machine machine, List<Order> orders, double cpus, double gpus, double memoryGb, long nowMicros) {
         MachineType type = machine.type;
         double slack = MachineType.EPSILON;
         for (Booking booking : machine.bookings.values()) {
-            if (booking.seen
-                    || booking.stop
-                    || !booking.persisted
-                    || booking.job.cancelled
-                    || booking.job.closed
-                    || booking.job.stale) {
-                continue;
-            }
             JobSpec spec = booking.job.spec;
             boolean fits = cpus + spec.cpus() <= type.cpus() + slack
                     && gpus + spec.gpus() <= type.gpus() + slack
                     && memoryGb + spec.memoryGb() <= type.memoryGb() + slack;
-            Machine elsewhere = cluster.whereabouts(booking.name);
-            if (!fits
-                    || orders.size() >= MOST_ORDERS
-                    || elsewhere != null && elsewhere != machine
-                    || isStranger(machine, booking)) {
+            if (!fits || orders.size() >= MOST_ORDERS || !gate.allows(booking, nowMicros)) {
                 continue;
             }
             cpus += spec.cpus();
@@ -261,18 +247,10 @@
             booking.runSent = true;
             booking.sawStart = spec.checkpointMicros() == 0 || booking.attempt == 1;
             orders.add(Order.run(booking.name, booking.attempt));
+            gate.started(booking);
         }
     }
 
-    private static boolean isStranger(Machine machine, Booking booking) {
-        for (Report.Task stranger : machine.strangers) {
-            if (stranger.name().equals(booking.name)) {
-                return true;
-            }
-        }
-        return false;
-    }
-
     private static boolean saves(Booking booking) {
         boolean canSave = booking.job.spec.checkpointMicros() > 0
                 && booking.graceMicros > 0
--- a/src/test/java/org/weldcourse/app/RandomFaultsTest.java
+++ b/src/test/java/org/weldcourse/app/RandomFaultsTest.java
@@ -30,7 +30,9 @@
     private static final int EVENTS = 90;
     private static final int MOST_OPEN_JOBS = 40;
     private static final long MOST_EVENT_GAP_MICROS = 1_200_000;
-    private static final int SECONDS_TO_END = 400;
+    /** Longer than any task runs: without a start or an end in this time, something waits for ever. */
+    private static final int MOST_IDLE_SECONDS = 90;
+
     private static final List<Settings.Team> TEAMS = List.of(
             new Settings.Team("core", 4, 16, 0, 0),
             new Settings.Team("edge", 0, 12, 0, 0),
@@ -310,9 +312,13 @@
                     world.withdraw(node(), id);
                 }
             }
-            for (int i = 0; i < SECONDS_TO_END && !world.state.keys("open/").isEmpty(); i++) {
+            int idleSeconds = 0;
+            while (!world.state.keys("open/").isEmpty() && idleSeconds < MOST_IDLE_SECONDS) {
+                int before = starts() - world.state.keys("open/").size();
                 world.time.passSeconds(1);
                 world.state.keys("open/").forEach(this::cancelUnanswered);
+                int after = starts() - world.state.keys("open/").size();
+                idleSeconds = after == before ? idleSeconds + 1 : 0;
             }
             assertEquals(List.of(), world.state.keys("open/"), this::standing);
             accepted.keySet().forEach(id -> assertNotNull(world.state.value("final/" + id), id));
--- a/src/test/java/org/weldcourse/simulation/ClusterRules.java
+++ b/src/test/java/org/weldcourse/simulation/ClusterRules.java
@@ -18,7 +18,7 @@
  * machine from the moment it has its image until it exits, is killed or the machine is gone, also while the machine hangs or
  * can't be reached.
  */
-public final class ClusterRules implements FakeWorker.Tasks {
+public final class ClusterRules implements FakeTasks {
     /** Within this time the tasks of a running gang notice that one of them is gone or its machine hangs. */
     private static final long GANG_PEER_MICROS = 4_000_000;
 
--- /dev/null
+++ b/src/test/java/org/weldcourse/simulation/FakeTask.java
@@ -0,0 +1,21 @@
+package org.weldcourse.simulation;
+
+/** A task on a scripted worker, under one attempt. */
+final class FakeTask {
+    static final String FETCHING = "fetching";
+    static final String GATHERING = "gathering";
+    static final String RUNNING = "running";
+    static final String EXITED = "exited";
+
+    final int attempt;
+    String heat = FETCHING;
+    String cause;
+
+    FakeTask(int attempt) {
+        this.attempt = attempt;
+    }
+
+    boolean isExited() {
+        return heat.equals(EXITED);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/weldcourse/simulation/FakeTasks.java
@@ -0,0 +1,24 @@
+package org.weldcourse.simulation;
+
+/** What the workers' tasks are, and who must know when one starts or ends. */
+public interface FakeTasks {
+    long runMicros(String task);
+
+    /** How long the task waits for its image. */
+    long fetchMicros(String task);
+
+    /** Whether the task is one of several that start together. */
+    boolean startsWithGang(String task);
+
+    void started(FakeWorker worker, String task, int attempt);
+
+    /** The machine hangs from now on. */
+    void hung(FakeWorker worker);
+
+    void ended(FakeWorker worker, String task);
+
+    void completed(String task);
+
+    /** Whether nothing keeps the task from its end: a gang goes on only while all of it runs. */
+    boolean mayComplete(String task);
+}
--- a/src/test/java/org/weldcourse/simulation/FakeWorker.java
+++ b/src/test/java/org/weldcourse/simulation/FakeWorker.java
@@ -10,43 +10,6 @@
 
 /** A worker on one machine. How long images take and tasks run is up to the world. */
 public final class FakeWorker implements Server.Handler {
-    /** What the workers' tasks are, and who must know when one starts or ends. */
-    public interface Tasks {
-        long runMicros(String task);
-
-        /** How long the task waits for its image. */
-        long fetchMicros(String task);
-
-        /** Whether the task is one of several that start together. */
-        boolean startsWithGang(String task);
-
-        void started(FakeWorker worker, String task, int attempt);
-
-        /** The machine hangs from now on. */
-        void hung(FakeWorker worker);
-
-        void ended(FakeWorker worker, String task);
-
-        void completed(String task);
-
-        /** Whether nothing keeps the task from its end: a gang goes on only while all of it runs. */
-        boolean mayComplete(String task);
-    }
-
-    private static final String FETCHING = "fetching";
-    private static final String GATHERING = "gathering";
-    private static final String RUNNING = "running";
-
-    private static final class Bead {
-        final int attempt;
-        String heat = FETCHING;
-        String cause;
-
-        Bead(int attempt) {
-            this.attempt = attempt;
-        }
-    }
-
     private static final long GANG_RETRY_MICROS = 100_000;
     private static final long GANG_WAIT_MICROS = 40_000_000;
     private static final long REPORT_TIMEOUT_MICROS = 4_000_000;
@@ -57,11 +20,11 @@
     private final Map<String, String> addressByName;
     private final FakeCloud.Rented machine;
     private final String address;
-    private final Tasks tasks;
+    private final FakeTasks tasks;
     private final long reportMicros;
     private final long leaseMicros;
     private final List<Map<String, Object>> reports = new ArrayList<>();
-    private final Map<String, Bead> beads = new LinkedHashMap<>();
+    private final Map<String, FakeTask> beads = new LinkedHashMap<>();
     private long session = 1;
     private long sequence;
     private long token;
@@ -83,7 +46,7 @@
             Map<String, String> addressByName,
             FakeCloud.Rented machine,
             String address,
-            Tasks tasks,
+            FakeTasks tasks,
             long reportMicros,
             long leaseMicros) {
         this.time = time;
@@ -115,7 +78,7 @@
     public List<String> present() {
         List<String> present = new ArrayList<>();
         beads.forEach((task, bead) -> {
-            if (!bead.heat.equals("exited")) {
+            if (!bead.isExited()) {
                 present.add(task);
             }
         });
@@ -188,8 +151,8 @@
     }
 
     private void drop(String task) {
-        Bead bead = beads.remove(task);
-        if (bead != null && !bead.heat.equals("exited") && !bead.heat.equals(FETCHING)) {
+        FakeTask bead = beads.remove(task);
+        if (bead != null && !bead.isExited() && !bead.heat.equals(FakeTask.FETCHING)) {
             tasks.ended(this, task);
         }
     }
@@ -301,16 +264,16 @@
             Map<String, Object> order = Json.object(item);
             String task = Json.text(order, "bead");
             int attempt = (int) Json.integer(order, "strike", 0);
-            Bead bead = beads.get(task);
+            FakeTask bead = beads.get(task);
             switch (Json.text(order, "order")) {
                 case "run" -> run(task, attempt, bead);
                 case "halt" -> {
-                    if (bead != null && bead.attempt == attempt && !bead.heat.equals("exited")) {
+                    if (bead != null && bead.attempt == attempt && !bead.isExited()) {
                         exit(task, bead, "stopped");
                     }
                 }
                 default -> {
-                    if (bead != null && bead.attempt == attempt && bead.heat.equals("exited")) {
+                    if (bead != null && bead.attempt == attempt && bead.isExited()) {
                         beads.remove(task);
                         changed();
                     }
@@ -319,14 +282,14 @@
         }
     }
 
-    private void run(String task, int attempt, Bead bead) {
+    private void run(String task, int attempt, FakeTask bead) {
         if (bead != null && bead.attempt == attempt) {
             return;
         }
-        if (bead != null && !bead.heat.equals("exited")) {
+        if (bead != null && !bead.isExited()) {
             throw new AssertionError(task + " was started over its own other attempt on " + machine.name());
         }
-        Bead fresh = new Bead(attempt);
+        FakeTask fresh = new FakeTask(attempt);
         beads.put(task, fresh);
         long fetchMicros = tasks.fetchMicros(task);
         if (fetchMicros > 0) {
@@ -337,12 +300,12 @@
         changed();
     }
 
-    private void imageThere(String task, Bead bead) {
-        if (beads.get(task) != bead || !bead.heat.equals(FETCHING)) {
+    private void imageThere(String task, FakeTask bead) {
+        if (beads.get(task) != bead || !bead.heat.equals(FakeTask.FETCHING)) {
             return;
         }
         boolean gathers = tasks.startsWithGang(task);
-        bead.heat = gathers ? GATHERING : RUNNING;
+        bead.heat = gathers ? FakeTask.GATHERING : FakeTask.RUNNING;
         tasks.started(this, task, bead.attempt);
         if (!gathers) {
             runs(task, bead);
@@ -352,8 +315,8 @@
         changed();
     }
 
-    private void waitedInVain(String task, Bead bead) {
-        if (beads.get(task) == bead && bead.heat.equals(GATHERING)) {
+    private void waitedInVain(String task, FakeTask bead) {
+        if (beads.get(task) == bead && bead.heat.equals(FakeTask.GATHERING)) {
             exit(task, bead, "alone");
         }
     }
@@ -361,16 +324,16 @@
     /** All tasks of the gang are there. */
     void gangStarts(String task) {
         whenAwake(() -> {
-            Bead bead = beads.get(task);
-            if (bead != null && bead.heat.equals(GATHERING)) {
+            FakeTask bead = beads.get(task);
+            if (bead != null && bead.heat.equals(FakeTask.GATHERING)) {
                 runs(task, bead);
                 changed();
             }
         });
     }
 
-    private void runs(String task, Bead bead) {
-        bead.heat = RUNNING;
+    private void runs(String task, FakeTask bead) {
+        bead.heat = FakeTask.RUNNING;
         long runMicros = tasks.runMicros(task);
         if (runMicros < Long.MAX_VALUE) {
             time.after(runMicros, () -> whenAwake(() -> finish(task, bead, runMicros < 0 ? "error" : "done")));
@@ -379,22 +342,22 @@
 
     /** The attempt of a task that is on the machine, or 0. */
     int attempt(String task) {
-        Bead bead = beads.get(task);
-        return bead == null || bead.heat.equals("exited") ? 0 : bead.attempt;
+        FakeTask bead = beads.get(task);
+        return bead == null || bead.isExited() ? 0 : bead.attempt;
     }
 
     /** A running gang has lost a task. */
     void matesGone(String task, int attempt) {
         whenAwake(() -> {
-            Bead bead = beads.get(task);
-            if (bead != null && bead.attempt == attempt && bead.heat.equals(RUNNING)) {
+            FakeTask bead = beads.get(task);
+            if (bead != null && bead.attempt == attempt && bead.heat.equals(FakeTask.RUNNING)) {
                 exit(task, bead, "mates_gone");
             }
         });
     }
 
-    private void finish(String task, Bead bead, String cause) {
-        if (beads.get(task) != bead || !bead.heat.equals(RUNNING)) {
+    private void finish(String task, FakeTask bead, String cause) {
+        if (beads.get(task) != bead || !bead.heat.equals(FakeTask.RUNNING)) {
             return;
         }
         if (cause.equals("done") && !tasks.mayComplete(task)) {
@@ -408,16 +371,16 @@
     public void doneWithGang(String task) {
         // A machine that hangs does not end its task before it goes on.
         whenAwake(() -> {
-            Bead bead = beads.get(task);
-            if (bead != null && bead.heat.equals(RUNNING)) {
+            FakeTask bead = beads.get(task);
+            if (bead != null && bead.heat.equals(FakeTask.RUNNING)) {
                 exit(task, bead, "done");
             }
         });
     }
 
-    private void exit(String task, Bead bead, String cause) {
-        boolean wasThere = !bead.heat.equals(FETCHING);
-        bead.heat = "exited";
+    private void exit(String task, FakeTask bead, String cause) {
+        boolean wasThere = !bead.heat.equals(FakeTask.FETCHING);
+        bead.heat = FakeTask.EXITED;
         bead.cause = cause;
         if (wasThere) {
             tasks.ended(this, task);
--- a/src/test/java/org/weldcourse/simulation/SimulatedCluster.java
+++ b/src/test/java/org/weldcourse/simulation/SimulatedCluster.java
@@ -140,9 +140,16 @@
             }
         }
         checkCancelled();
+        controllers.forEach(SimulatedCluster::checkStarts);
         time.after(BEAT_MICROS, this::beat);
     }
 
+    private static void checkStarts(String name, Controller controller) {
+        if (controller.startCounts().violations() > 0) {
+            throw new AssertionError(name + " refused a start that should never have been asked for");
+        }
+    }
+
     /** The node hears no other controller, and none hears it. */
     public void cutFromPeers(String name) {
         fromPeers.add(name);
