--- a/src/main/java/org/weldcourse/admission/SettingsLimits.java
+++ b/src/main/java/org/weldcourse/admission/SettingsLimits.java
@@ -81,7 +81,15 @@
 
     @Override
     public String status() {
-        return "";
+        StringBuilder text = new StringBuilder();
+        for (Settings.Team team : settings.teams()) {
+            if (isExceeded(team.name())) {
+                Amount counted = cluster.accounts.countedAgainst(team.name());
+                text.append("team ").append(team.name()).append(" has ");
+                text.append(counted.minus(limit(team.name()))).append(" over its limit; ");
+            }
+        }
+        return text.toString();
     }
 
     @Override
--- a/src/main/java/org/weldcourse/app/Controller.java
+++ b/src/main/java/org/weldcourse/app/Controller.java
@@ -244,7 +244,8 @@
         }
     }
 
-    private String metrics() {
+    /** What a scrape shows of this controller, in the text format of Prometheus. */
+    public String metrics() {
         ControllerMetrics metrics = new ControllerMetrics();
         metrics.process(leadership.leads(), startCounts);
         if (term != null) {
--- /dev/null
+++ b/src/test/java/org/weldcourse/admission/StartGateTest.java
@@ -0,0 +1,153 @@
+package org.weldcourse.admission;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.weldcourse.simulation.SimulatedCluster.jobBody;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.weldcourse.http.Json;
+import org.weldcourse.jobs.JobCodec;
+import org.weldcourse.jobs.JobSpec;
+import org.weldcourse.quota.Amount;
+import org.weldcourse.quota.QuotaRule;
+import org.weldcourse.workers.Report;
+import org.weldcourse.workers.TaskName;
+
+/** What may start, and what counts against a team's limit. */
+class StartGateTest {
+    private static final String TEAM = "core";
+    private static final Amount LIMIT = Amount.limit(4, 2);
+
+    private final ClusterState cluster = new ClusterState();
+    private final StartCounts counts = new StartCounts();
+    private final Machine machine = cluster.machine("m-000001", 0);
+    private final StartGate gate = new StartGate(
+            cluster,
+            new StartGate.Limits() {
+                @Override
+                public boolean isOverbooked(String team) {
+                    return QuotaRule.isExceeded(LIMIT, cluster.accounts.bookedBy(team));
+                }
+
+                @Override
+                public boolean isExceeded(String team) {
+                    return QuotaRule.isExceeded(LIMIT, cluster.accounts.countedAgainst(team));
+                }
+
+                @Override
+                public String limitText(String team) {
+                    return LIMIT.toString();
+                }
+            },
+            counts);
+
+    private Job job;
+
+    private static JobSpec spec(String id, double cpus, double gpus) throws JobCodec.Malformed {
+        return JobCodec.spec(jobBody(id, "crew", TEAM, "cpus", cpus, "gpus", gpus, "beads", 3L));
+    }
+
+    @BeforeEach
+    void anOpenJob() throws Exception {
+        job = new Job(spec("req-000001", 2, 1), 1, 0);
+        cluster.jobs.put(job.spec.id(), job);
+    }
+
+    private Booking booked(int task) {
+        Booking booking = cluster.book(job, task, 1, machine, 0);
+        booking.persisted = true;
+        return booking;
+    }
+
+    private static Report.Task running(String id, int task, int attempt) {
+        return new Report.Task(new TaskName(id, task), attempt, Report.State.RUNNING, null);
+    }
+
+    @Test
+    void whatIsAdmittedWithinTheLimitStarts() {
+        Booking booking = booked(0);
+        assertTrue(gate.allows(booking, 0));
+        booking.persisted = false;
+        assertFalse(gate.allows(booking, 0), "persist, then run");
+    }
+
+    @Test
+    void moreBookedThanTheLimitIsAViolation() {
+        Booking booking = booked(0);
+        booked(1);
+        booked(2);
+        assertFalse(gate.allows(booking, 0));
+        assertEquals(1, counts.violations());
+    }
+
+    @Test
+    void whatIsNotBookedWithholdsStartsUntilItIsGone() {
+        Booking booking = booked(0);
+        booked(1);
+        Machine other = cluster.machine("m-000002", 0);
+        cluster.unexplained(other, List.of(running(job.spec.id(), 2, 7)));
+        assertFalse(gate.allows(booking, 0));
+        assertEquals(1, counts.withheld());
+        assertEquals(0, counts.violations());
+        assertEquals(Amount.of(2, 1), cluster.accounts.notBookedBy(TEAM));
+        cluster.unexplained(other, List.of());
+        assertTrue(gate.allows(booking, 0));
+        assertEquals(Amount.ZERO, cluster.accounts.notBookedBy(TEAM));
+    }
+
+    @Test
+    void nonsenseInAReportIsChargedToNobodyElseAndHoldsWhatItMayHold() {
+        Machine other = cluster.machine("m-000002", 0);
+        cluster.unexplained(
+                other,
+                List.of(running("req-777777", 0, 1), running(job.spec.id(), 99_999, 1), running("req-777777", 1, 1)));
+        assertEquals(2, cluster.unknownTasks());
+        assertEquals(
+                Amount.of(2, 1), cluster.accounts.notBookedBy(TEAM), "beyond the job's size, and there all the same");
+        assertTrue(job.mayBeOnMachines());
+        cluster.gone(other, 0);
+        assertEquals(0, cluster.unknownTasks());
+        assertEquals(Amount.ZERO, cluster.accounts.notBookedBy(TEAM));
+        assertFalse(job.mayBeOnMachines());
+    }
+
+    @Test
+    void aBookingOverAnotherOnTheSameMachineFreesNothing() {
+        booked(0);
+        job.bookings.remove(0);
+        cluster.book(job, 0, 2, machine, 0);
+        assertEquals(Amount.of(4, 2), cluster.accounts.bookedBy(TEAM));
+    }
+
+    @Test
+    void aRecordOfUnknownTeamLeavesNoTeamAnyRoom() {
+        cluster.accounts.unreadableJob(null);
+        Booking booking = booked(0);
+        assertFalse(gate.allows(booking, 0));
+        assertEquals(0, counts.violations());
+    }
+
+    @Test
+    void aRecordOfWhatIsOutstandingComesBackAsItWasWritten() throws Exception {
+        booked(0);
+        booked(2);
+        ClusterState next = new ClusterState();
+        Job back =
+                OutstandingRecord.restore(next, Json.objectOrEmpty(Json.bytes(OutstandingRecord.of(job, 10_000))), 5);
+        assertEquals(Amount.of(4, 2), next.accounts.bookedBy(TEAM));
+        assertEquals(2, next.machine("m-000001", 5).bookings.size());
+        assertTrue(back.closed && back.bookings.get(2).stop && back.allDone());
+        assertFalse(back.bookings.containsKey(1));
+    }
+
+    /** Such a job ends once there is evidence that nothing of it is left. */
+    @Test
+    void aRecordOfWhatIsOutstandingKeepsToTheSizeOfValues() {
+        booked(0);
+        assertNull(OutstandingRecord.of(job, 300));
+    }
+}
--- a/src/test/java/org/weldcourse/app/OutstandingTasksTest.java
+++ b/src/test/java/org/weldcourse/app/OutstandingTasksTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static org.weldcourse.simulation.SimulatedCluster.jobBody;
 
@@ -25,6 +26,7 @@
     private static final int LIMIT = 8;
     private static final List<Settings.Team> TEAMS = List.of(new Settings.Team("capped", 0, LIMIT, 0, 0));
 
+    private FakeWorker hangs;
     private final SimulatedCluster world = new SimulatedCluster(3, 16, 32 * 1024, TEAMS, Tuning.TeamLimits.SETTINGS);
 
     /** So many machines that hold one task each, and no others to be had. */
@@ -66,11 +68,28 @@
      */
     @Test
     void theTaskOfAGangThatIsOverCountsWhileItsMachineHangs() {
+        playGangThatIsOverWhileAMachineHangs();
+        assertEquals(2, world.runningTasks(), "the one that may be there, and one more");
+        hangs.freeze(false);
+        assertTrue(world.reaches(world.alive().get(0), SECOND, "done", 60));
+        assertFalse(hangs.present().contains(FIRST + "/1"));
+        assertEquals(List.of(), world.state.keys("outstanding/"), "the record goes with the evidence");
+    }
+
+    /** The test above would be worth nothing if it passed without the record that it is about. */
+    @Test
+    void withoutTheRecordOfWhatIsOutstandingTheLimitIsPassed() {
+        world.state.loseWrites("outstanding/");
+        AssertionError broken = assertThrows(AssertionError.class, this::playGangThatIsOverWhileAMachineHangs);
+        assertTrue(broken.getMessage().startsWith("quota: capped uses 12.0"), broken.getMessage());
+    }
+
+    private void playGangThatIsOverWhileAMachineHangs() {
         machines(4);
         submit(FIRST, 20, "shape", "ensemble");
         awaitRunning(2);
         world.time.passSeconds(19.5);
-        FakeWorker hangs = world.whereIs(FIRST + "/1");
+        hangs = world.whereIs(FIRST + "/1");
         hangs.freeze(true);
         world.cloud.down(true);
         assertTrue(world.reaches(world.alive().get(0), FIRST, "done", 3), "the user is told in time");
@@ -78,10 +97,6 @@
         killLeaderAndAwaitNext();
         submit(SECOND, 20);
         world.time.passSeconds(30);
-        assertEquals(2, world.runningTasks(), "the one that may be there, and one more");
-        hangs.freeze(false);
-        assertTrue(world.reaches(world.alive().get(0), SECOND, "done", 60));
-        assertFalse(hangs.present().contains(FIRST + "/1"));
     }
 
     /**
@@ -93,7 +108,7 @@
         machines(4);
         submit(FIRST, 60, "yard", "a");
         awaitRunning(2);
-        FakeWorker hangs = world.whereIs(FIRST + "/1");
+        hangs = world.whereIs(FIRST + "/1");
         submit(SECOND, 20, "rank", "urgent", "yard", "b");
         world.time.passSeconds(2);
         assertEquals(2, world.runningTasks(), "the limit is reached");
@@ -137,7 +152,7 @@
         machines(4);
         submit(FIRST, 60);
         awaitRunning(2);
-        FakeWorker hangs = world.whereIs(FIRST + "/1");
+        hangs = world.whereIs(FIRST + "/1");
         hangs.freeze(true);
         world.cloud.down(true);
         world.state.garble("slices/" + FIRST + "/0", Map.of("machines", Map.of("m-000000", "nonsense")));
@@ -147,4 +162,42 @@
         assertEquals(List.of(FIRST + "/1"), hangs.present(), "it is there still");
         assertEquals("queued", world.poll(world.alive().get(0), SECOND).state());
     }
+
+    /**
+     * An earlier version, which does not know of the record, leaves it alone: it may be there long after all is gone. The
+     * next leader counts what it says until the cloud has confirmed that the machine is gone, and takes it away.
+     */
+    @Test
+    void whatAnEarlierVersionLeftOutstandingIsClearedAway() {
+        machines(4);
+        String leader = world.leader();
+        Map<String, Object> left = jobBody("req-000009", "crew", "capped", "cpus", 4.0, "shape", "ensemble");
+        left.put("last", 3);
+        left.put("machines", Map.of("m-000901", "3:0"));
+        world.state.plant("outstanding/req-000009", left);
+        killLeaderAndAwaitNext();
+        submit(FIRST, 60);
+        awaitRunning(1);
+        assertTrue(world.controller(world.leader()).metrics().contains("weldcourse_outstanding_jobs 1.0"));
+        world.time.passSeconds(20);
+        awaitRunning(2);
+        assertEquals(List.of(), world.state.keys("outstanding/"));
+        world.startNode(leader);
+        assertTrue(world.reaches(leader, FIRST, "done", 90));
+    }
+
+    /** What can't be read of a job that is over counts as room taken, and says so in the metrics. */
+    @Test
+    void anUnreadableRecordOfWhatIsOutstandingTakesAllRoomOfItsTeam() {
+        machines(4);
+        world.state.plant("outstanding/req-000009", Map.of("crew", "capped", "machines", 7));
+        killLeaderAndAwaitNext();
+        submit(FIRST, 10);
+        world.time.passSeconds(30);
+        assertEquals("queued", world.poll(world.alive().get(0), FIRST).state());
+        assertEquals(0, world.runningTasks());
+        String metrics = world.controller(world.leader()).metrics();
+        assertTrue(metrics.contains("weldcourse_team_unbooked_cpus{team=\"capped\"} 1.0E9"), metrics);
+        assertTrue(metrics.contains("weldcourse_team_limit_cpus{team=\"capped\"} 8.0"), metrics);
+    }
 }
--- a/src/test/java/org/weldcourse/simulation/DeployedProgram.java
+++ b/src/test/java/org/weldcourse/simulation/DeployedProgram.java
@@ -1,16 +1,22 @@
 package org.weldcourse.simulation;
 
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.UnaryOperator;
 
 /** The program as {@code deploy/service.toml} starts it. */
 public final class DeployedProgram {
+    private static final int LOWEST_PORT = 10_000;
+    private static final int PORTS = 22_000;
+    private static final int MOST_TRIES = 200;
+
     private DeployedProgram() {}
 
     /** The words of the start command, each changed as asked; the settings' path is still to be added. */
@@ -27,10 +33,20 @@
         return command;
     }
 
-    /** A port of the loopback that was free a moment ago. */
+    /**
+     * A port of the loopback that was free a moment ago, below those that the system gives to outgoing connections: one of
+     * those could take it while a process that listens on it is down.
+     */
     public static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+        for (int tries = 0; tries < MOST_TRIES; tries++) {
+            int port = LOWEST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+                return socket.getLocalPort();
+            } catch (BindException taken) {
+                // Another one will be free.
+                continue;
+            }
         }
+        throw new IOException("no port is free");
     }
 }
--- a/src/test/java/org/weldcourse/simulation/FakeState.java
+++ b/src/test/java/org/weldcourse/simulation/FakeState.java
@@ -33,6 +33,7 @@
     private long oldestWatched;
     private Consumer<List<Written>> onCommit = written -> {};
     private String unguardedPrefix;
+    private String lostPrefix;
 
     /** One change of a commit; {@code value} is null for a key that was deleted. */
     public record Written(String key, Map<String, Object> value, long version) {}
@@ -53,6 +54,11 @@
         unguardedPrefix = prefix;
     }
 
+    /** Writes to keys with this prefix are answered as carried out and lost. */
+    public void loseWrites(String prefix) {
+        lostPrefix = prefix;
+    }
+
     /** During an outage everything is refused; when it is over, leases have their full time again. */
     public void down(boolean isDown) {
         if (down && !isDown) {
@@ -256,6 +262,9 @@
     }
 
     private void put(String key, Value value) {
+        if (lostPrefix != null && key.startsWith(lostPrefix)) {
+            return;
+        }
         if (value == null) {
             if (values.remove(key) != null) {
                 changes.add(new Change(key, null, revision));
@@ -351,9 +360,13 @@
             time.after(100_000, () -> close(answered, look, reply));
             return;
         }
-        answered[0] = true;
-        watchers.remove(look);
-        reply.send(200, Json.of("ledger", revision, "events", List.of()));
+        // What was committed since the watchers were last woken belongs into this answer: it names the newest revision.
+        look.run();
+        if (!answered[0]) {
+            answered[0] = true;
+            watchers.remove(look);
+            reply.send(200, Json.of("ledger", revision, "events", List.of()));
+        }
     }
 
     private void wakeWatchers() {
--- a/src/test/java/org/weldcourse/simulation/LoopbackCluster.java
+++ b/src/test/java/org/weldcourse/simulation/LoopbackCluster.java
@@ -49,8 +49,12 @@
     private final Map<String, Integer> peerPorts = new LinkedHashMap<>();
     private final Map<String, Process> processes = new LinkedHashMap<>();
     private final Path directory;
-    private final int statePort;
-    private final int cloudPort;
+    /** Each controller has ports of its own for state service and cloud, so that its link can fail alone. */
+    private final Map<String, Integer> statePorts = new LinkedHashMap<>();
+
+    private final Map<String, Integer> cloudPorts = new LinkedHashMap<>();
+    private final Map<String, PeerProxy> peerProxies = new LinkedHashMap<>();
+    private final NetworkFaults faults;
     private final List<String> options;
     private long tickedNanos = System.nanoTime();
     private volatile AssertionError failure;
@@ -72,21 +76,33 @@
         this.teams = teams;
         this.directory = directory;
         this.options = options;
+        faults = new NetworkFaults(time);
         rules = new ClusterRules(time, teams, CANCEL_MICROS);
         state = new FakeState(time, TXN_OPS, VALUE_BYTES);
         cloud = new FakeCloud(time, BOOT_MICROS, this::machineUp, this::machineGone);
         cloud.capacity = machines;
-        statePort = serve(state);
-        cloudPort = serve(cloud);
         for (int i = 0; i < machines + machines / 2; i++) {
             WorkerAddress[] worker = new WorkerAddress[1];
             int port = serve((request, reply) -> worker[0].handler.handle(request, reply));
             worker[0] = new WorkerAddress(HOST + ":" + port);
+
             freeAddresses.add(worker[0]);
         }
         for (int i = 0; i < controllers; i++) {
-            apiPorts.put("n" + i, DeployedProgram.freePort());
-            peerPorts.put("n" + i, DeployedProgram.freePort());
+            String name = "n" + i;
+            apiPorts.put(name, DeployedProgram.freePort());
+            peerPorts.put(name, DeployedProgram.freePort());
+            statePorts.put(name, serve(faults.towards(name, NetworkFaults.STATE, state)));
+            cloudPorts.put(name, serve(faults.towards(name, NetworkFaults.CLOUD, cloud)));
+        }
+        for (String from : apiPorts.keySet()) {
+            for (String to : apiPorts.keySet()) {
+                if (!from.equals(to)) {
+                    peerProxies.put(
+                            NetworkFaults.link(from, to),
+                            new PeerProxy(loop, peerPorts.get(to), faults, NetworkFaults.link(from, to)));
+                }
+            }
         }
         loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -129,6 +145,11 @@
         return CompletableFuture.supplyAsync(work, loop).get(30, TimeUnit.SECONDS);
     }
 
+    /** Keeps a rule that breaks in this, which runs on the event loop already. */
+    public void guarded(Runnable work) {
+        watch(work);
+    }
+
     /** Runs on the stand-ins' event loop; a rule that breaks there is kept. */
     public void tell(Runnable work) {
         loop.execute(() -> watch(work));
@@ -143,7 +164,7 @@
         apiPorts.forEach((name, port) -> addressByName.put(name, HOST + ":" + port));
         FakeWorker worker = new FakeWorker(
                 time,
-                new NettyCaller(loop, () -> 1),
+                faults.from(rented.name(), new NettyCaller(loop, () -> 1), nameByAddress()),
                 new ArrayList<>(addressByName.values()),
                 addressByName,
                 rented,
@@ -151,16 +172,63 @@
                 rules,
                 REPORT_MICROS,
                 LEASE_MICROS);
-        address.handler = worker;
+        address.handler = faults.towards(NetworkFaults.ANYBODY, rented.name(), worker);
         addresses.put(rented.name(), address);
         workers.put(rented.name(), worker);
     }
 
+    private Map<String, String> nameByAddress() {
+        Map<String, String> names = new HashMap<>();
+        apiPorts.forEach((name, port) -> names.put(HOST + ":" + port, name));
+        return names;
+    }
+
+    /** The workers by the names of their machines. */
+    public Map<String, FakeWorker> workers() {
+        return workers;
+    }
+
+    /** The machine loses its power, and the cloud lists it on. */
+    public void loseMachine(String name) {
+        workers.remove(name).die();
+        addresses.get(name).handler = (request, reply) -> {};
+    }
+
+    /** The machine is back from one moment to the next, empty. */
+    public void restartMachine(String name) {
+        FakeWorker worker = workers.remove(name);
+        worker.die();
+        freeAddresses.addFirst(addresses.remove(name));
+        machineUp(worker.machine());
+    }
+
+    /** What goes wrong on the links of this cluster. */
+    public NetworkFaults faults() {
+        return faults;
+    }
+
+    public FakeCloud cloud() {
+        return cloud;
+    }
+
+    public FakeTime time() {
+        return time;
+    }
+
+    /** A caller on the stand-ins' event loop. */
+    public NettyCaller caller() {
+        return new NettyCaller(loop, () -> 4);
+    }
+
     private void machineGone(String name) {
         FakeWorker worker = workers.remove(name);
         if (worker != null) {
             worker.die();
-            freeAddresses.add(addresses.remove(name));
+        }
+        WorkerAddress address = addresses.remove(name);
+        if (address != null) {
+            address.handler = (request, reply) -> {};
+            freeAddresses.add(address);
         }
     }
 
@@ -177,7 +245,12 @@
     }
 
     /** Starts a controller as a process of its own. */
-    public void start(String name) throws IOException {
+    public void start(String name) throws IOException, InterruptedException {
+        for (String other : names()) {
+            if (!other.equals(name)) {
+                peerProxies.get(NetworkFaults.link(other, name)).open();
+            }
+        }
         List<String> command = DeployedProgram.command(word -> word);
         command.add(settingsFile(name).toString());
         command.addAll(options);
@@ -193,6 +266,17 @@
     /** Ends a controller's process without a word. */
     public void kill(String name) throws InterruptedException {
         processes.get(name).destroyForcibly().waitFor();
+        for (String other : names()) {
+            if (!other.equals(name)) {
+                peerProxies.get(NetworkFaults.link(other, name)).close();
+            }
+        }
+    }
+
+    /** Whether the controller's process runs, be it frozen. */
+    public boolean isAlive(String name) {
+        Process process = processes.get(name);
+        return process != null && process.isAlive();
     }
 
     /** Lets a controller's process stand still, or go on. */
@@ -220,11 +304,12 @@
         peerPorts.forEach((other, port) -> {
             if (!other.equals(name)) {
                 text.append("[[known]]\nhost_name = \"").append(other).append("\"\nsite = \"a\"\n");
-                text.append("address = \"").append(HOST + ":" + port).append("\"\n");
+                int proxyPort = peerProxies.get(NetworkFaults.link(name, other)).port();
+                text.append("address = \"").append(HOST + ":" + proxyPort).append("\"\n");
             }
         });
-        text.append("[endpoints]\ncloud = \"").append(HOST + ":" + cloudPort);
-        text.append("\"\nstate = \"").append(HOST + ":" + statePort).append("\"\n");
+        text.append("[endpoints]\ncloud = \"").append(HOST + ":" + cloudPorts.get(name));
+        text.append("\"\nstate = \"").append(HOST + ":" + statePorts.get(name)).append("\"\n");
         text.append("[deployment]\nzones = [\"a\", \"b\"]\n");
         for (Settings.Team team : teams) {
             text.append("[[deployment.teams]]\nname = \"").append(team.name()).append("\"\n");
@@ -266,6 +351,9 @@
         for (Process process : processes.values()) {
             process.destroyForcibly().waitFor();
         }
+        for (PeerProxy proxy : peerProxies.values()) {
+            proxy.close();
+        }
         loop.parent().shutdownGracefully(0, 100, TimeUnit.MILLISECONDS).sync();
     }
 }
--- /dev/null
+++ b/src/test/java/org/weldcourse/simulation/NetworkFaults.java
@@ -0,0 +1,222 @@
+package org.weldcourse.simulation;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeMap;
+import org.weldcourse.http.Caller;
+import org.weldcourse.http.Json;
+import org.weldcourse.http.Server;
+
+/**
+ * What goes wrong on the way between two ends: cuts in one direction, refusals, delays, lost answers, late and repeated
+ * messages. Everything that took effect is counted. Used on one thread alone.
+ */
+public final class NetworkFaults {
+    public static final String STATE = "state";
+    public static final String CLOUD = "cloud";
+    /** Stands for a caller that can't be told from others. */
+    public static final String ANYBODY = "anybody";
+
+    private static final long LEAST_LATE_MICROS = 2_000_000;
+    private static final int MOST_MORE_LATE_MICROS = 10_000_000;
+
+    private final FakeTime time;
+    private final Set<String> cuts = new HashSet<>();
+    private final Set<String> refusals = new HashSet<>();
+    private final Map<String, Long> slowMicros = new HashMap<>();
+    private final Map<String, Double> lostAnswerShares = new HashMap<>();
+    private final Map<String, Double> lateShares = new HashMap<>();
+    private final Map<String, Double> repeatShares = new HashMap<>();
+    private final Map<Effect, Integer> effects = new TreeMap<>();
+    private final List<Runnable> onHeal = new ArrayList<>();
+    private Random random = new Random(0);
+
+    /** What became of a message. */
+    public enum Effect {
+        REQUEST_CUT,
+        ANSWER_CUT,
+        REFUSED,
+        SLOWED,
+        ANSWER_LOST,
+        CARRIED_OUT_LATE,
+        REPEATED,
+        PEERS_CUT
+    }
+
+    NetworkFaults(FakeTime time) {
+        this.time = time;
+    }
+
+    /** The name of the way from one end to the other. */
+    public static String link(String from, String to) {
+        return from + ">" + to;
+    }
+
+    /** Decides from here on by this seed. */
+    public void seed(long seed) {
+        random = new Random(seed);
+    }
+
+    /** Whatever goes from the one to the other gets lost, or on peers' connections waits. */
+    public void cut(String from, String to) {
+        cuts.add(link(from, to));
+    }
+
+    /** The way is whole again, in this direction. */
+    public void heal(String from, String to) {
+        cuts.remove(link(from, to));
+        List.copyOf(onHeal).forEach(Runnable::run);
+    }
+
+    boolean isCut(String link) {
+        return cuts.contains(link);
+    }
+
+    void onHeal(Runnable work) {
+        onHeal.add(work);
+    }
+
+    /** The callee refuses this caller with 503, or serves it again. */
+    public void refuse(String from, String to, boolean refused) {
+        if (refused) {
+            refusals.add(link(from, to));
+        } else {
+            refusals.remove(link(from, to));
+        }
+    }
+
+    /** Each message takes so much longer. */
+    public void slow(String from, String to, long micros) {
+        slowMicros.put(link(from, to), micros);
+    }
+
+    /** Of this share of the messages the answer gets lost. */
+    public void loseAnswers(String from, String to, double share) {
+        lostAnswerShares.put(link(from, to), share);
+    }
+
+    /** This share of the messages is carried out late, and never answered. */
+    public void late(String from, String to, double share) {
+        lateShares.put(link(from, to), share);
+    }
+
+    /** This share of the messages comes again some seconds later. */
+    public void repeat(String from, String to, double share) {
+        repeatShares.put(link(from, to), share);
+    }
+
+    /** Every link is as it should be. */
+    public void healAll() {
+        cuts.clear();
+        refusals.clear();
+        slowMicros.clear();
+        lostAnswerShares.clear();
+        lateShares.clear();
+        repeatShares.clear();
+        List.copyOf(onHeal).forEach(Runnable::run);
+    }
+
+    /** How often each kind took effect. */
+    public Map<Effect, Integer> effects() {
+        return effects;
+    }
+
+    void count(Effect effect) {
+        effects.merge(effect, 1, Integer::sum);
+    }
+
+    private boolean happens(Map<String, Double> shares, String link) {
+        Double share = shares.get(link);
+        return share != null && random.nextDouble() < share;
+    }
+
+    private long lateMicros() {
+        return LEAST_LATE_MICROS + random.nextInt(MOST_MORE_LATE_MICROS);
+    }
+
+    /** A handler as this caller finds it. */
+    public Server.Handler towards(String from, String to, Server.Handler handler) {
+        String way = link(from, to);
+        return (request, reply) -> {
+            if (cuts.contains(way)) {
+                count(Effect.REQUEST_CUT);
+                return;
+            }
+            if (refusals.contains(way)) {
+                count(Effect.REFUSED);
+                reply.refuse(503, "refused", 1);
+                return;
+            }
+            if (happens(lateShares, way)) {
+                count(Effect.CARRIED_OUT_LATE);
+                time.after(lateMicros(), () -> handler.handle(request, (status, body, retryAfterSeconds) -> {}));
+                return;
+            }
+            long delayMicros = slowMicros.getOrDefault(way, 0L);
+            if (delayMicros > 0) {
+                count(Effect.SLOWED);
+                time.after(delayMicros, () -> carryOut(from, to, handler, request, reply));
+            } else {
+                carryOut(from, to, handler, request, reply);
+            }
+        };
+    }
+
+    private void carryOut(String from, String to, Server.Handler handler, Server.Request request, Server.Reply reply) {
+        boolean lost = happens(lostAnswerShares, link(from, to));
+        handler.handle(request, (status, body, retryAfterSeconds) -> {
+            if (cuts.contains(link(to, from))) {
+                count(Effect.ANSWER_CUT);
+            } else if (lost) {
+                count(Effect.ANSWER_LOST);
+            } else {
+                reply.send(status, body, retryAfterSeconds);
+            }
+        });
+    }
+
+    /** A caller as it reaches the ends with these addresses. */
+    public Caller from(String from, Caller caller, Map<String, String> nameByAddress) {
+        return (call, done) -> {
+            String to = nameByAddress.getOrDefault(call.address(), call.address());
+            boolean[] ended = new boolean[1];
+            time.after(call.timeoutMicros(), () -> finish(ended, done, Caller.Answer.NONE));
+            if (cuts.contains(link(from, to)) || cuts.contains(link(from, ANYBODY))) {
+                count(Effect.REQUEST_CUT);
+                return;
+            }
+            if (happens(repeatShares, link(from, ANYBODY))) {
+                count(Effect.REPEATED);
+                time.after(lateMicros(), () -> caller.call(copy(call), answer -> {}));
+            }
+            caller.call(call, answer -> {
+                if (cuts.contains(link(to, from)) || cuts.contains(link(ANYBODY, from))) {
+                    count(Effect.ANSWER_CUT);
+                } else {
+                    finish(ended, done, answer);
+                }
+            });
+        };
+    }
+
+    private static Caller.Call copy(Caller.Call call) {
+        return new Caller.Call(
+                call.address(),
+                call.method(),
+                call.path(),
+                Json.objectOrEmpty(Json.bytes(call.body())),
+                call.timeoutMicros());
+    }
+
+    private static void finish(boolean[] ended, Caller.Done done, Caller.Answer answer) {
+        if (!ended[0]) {
+            ended[0] = true;
+            done.accept(answer);
+        }
+    }
+}
