--- a/src/main/java/org/weldcourse/admission/TaskStops.java
+++ b/src/main/java/org/weldcourse/admission/TaskStops.java
@@ -47,6 +47,7 @@
             if (nowMicros + cluster.runTimes.leftMicros(booking, nowMicros) < machine.takenBackAtMicros) {
                 continue;
             }
+            LOG.debug("{} attempt {} leaves {}, which is taken back", booking.name, booking.attempt, machine.name);
             stop(booking);
         }
     }
--- a/src/main/java/org/weldcourse/jobs/JobApi.java
+++ b/src/main/java/org/weldcourse/jobs/JobApi.java
@@ -238,7 +238,7 @@
                     .put(Keys.open(id), record);
             store.commit(txn, commit -> {
                 if (commit.outcome() == Outcome.OK) {
-                    LOG.info("{}: cancelled by its user", id);
+                    LOG.info("{}: cancelled by its user, revision {}", id, commit.revision());
                     reply.send(200, state(id, "cancelled", 0, 0));
                 } else if (tries > 1 && (commit.outcome() == Outcome.NO || commit.outcome() == Outcome.UNKNOWN)) {
                     withdraw(id, tries - 1, reply);
@@ -285,6 +285,11 @@
                         Json.text(read.entry().value(), "heat"),
                         (int) Json.integer(read.entry().value(), "done", 0),
                         0);
+                LOG.debug(
+                        "{}: told as {}, final since revision {}",
+                        id,
+                        state.get("heat"),
+                        read.entry().version());
                 remember(id, state);
                 reply.send(200, state);
             }
--- a/src/test/java/org/weldcourse/app/RandomFaultsTest.java
+++ b/src/test/java/org/weldcourse/app/RandomFaultsTest.java
@@ -3,7 +3,6 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
-import static org.weldcourse.simulation.SimulatedCluster.jobBody;
 
 import java.util.ArrayList;
 import java.util.EnumMap;
@@ -17,6 +16,7 @@
 import org.weldcourse.settings.Tuning;
 import org.weldcourse.simulation.FakeNet;
 import org.weldcourse.simulation.FakeWorker;
+import org.weldcourse.simulation.RandomJob;
 import org.weldcourse.simulation.SimulatedCluster;
 
 /**
@@ -38,6 +38,9 @@
             new Settings.Team("edge", 0, 12, 0, 0),
             new Settings.Team("capped", 0, 8, 0, 0));
 
+    private static final List<String> TEAM_NAMES =
+            TEAMS.stream().map(Settings.Team::name).toList();
+
     /** What can go wrong, each as often as it stands in a list of its weight. */
     private enum Fault {
         NODE_KILLED,
@@ -133,26 +136,11 @@
 
         private void submit(String node) {
             String id = String.format("req-%06d", ++submitted);
-            String team = TEAMS.get(random.nextInt(TEAMS.size())).name();
-            Map<String, Object> body =
-                    jobBody(id, "crew", team, "cpus", (1.0 + random.nextInt(2)) / (small ? 8 : 1), "mem_gb", 0.1);
-            switch (random.nextInt(5)) {
-                case 0 -> body.put("beads", 1L);
-                case 1, 2 -> body.put("beads", 2L + random.nextInt(small ? 150 : 9));
-                case 3 -> {
-                    body.put("shape", "service");
-                    body.put("expected_s", 0.0);
-                    body.put("beads", 1L + random.nextInt(2));
-                    world.runMicros.put(id, Long.MAX_VALUE);
-                    endless.add(id);
-                }
-                default -> {
-                    body.put("shape", "ensemble");
-                    body.put("beads", 2L + random.nextInt(small ? 24 : 3));
-                }
+            Map<String, Object> body = RandomJob.body(random, id, TEAM_NAMES, small);
+            if (RandomJob.isEndless(body)) {
+                world.runMicros.put(id, Long.MAX_VALUE);
+                endless.add(id);
             }
-            body.put("rank", List.of("urgent", "normal", "normal", "idle").get(random.nextInt(4)));
-            body.put("together", random.nextInt(5) == 0);
             world.runMicros.putIfAbsent(id, 500_000L + random.nextInt(25_000_000));
             world.rules().fetchMicros.put(id, (long) random.nextInt(2_000_000));
             world.submitSoon(node, body, answer -> {
--- a/src/test/java/org/weldcourse/soak/SoakUsers.java
+++ b/src/test/java/org/weldcourse/soak/SoakUsers.java
@@ -1,7 +1,5 @@
 package org.weldcourse.soak;
 
-import static org.weldcourse.simulation.SimulatedCluster.jobBody;
-
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
@@ -14,6 +12,7 @@
 import org.weldcourse.settings.Settings;
 import org.weldcourse.simulation.ClusterRules;
 import org.weldcourse.simulation.LoopbackCluster;
+import org.weldcourse.simulation.RandomJob;
 import org.weldcourse.simulation.SimulatedCluster.Answer;
 
 /**
@@ -126,24 +125,11 @@
 
     private void submit() {
         String id = String.format("req-%06d", ++submitted);
-        Map<String, Object> body = jobBody(
-                id, "crew", teams.get(random.nextInt(teams.size())), "cpus", 1.0 + random.nextInt(2), "mem_gb", 1.0);
-        switch (random.nextInt(6)) {
-            case 0 -> body.put("beads", 1L);
-            case 1, 2, 3 -> body.put("beads", 2L + random.nextInt(10));
-            case 4 -> {
-                body.put("shape", "service");
-                body.put("expected_s", 0.0);
-                body.put("beads", 1L + random.nextInt(2));
-                rules.runMicros.put(id, Long.MAX_VALUE);
-                endless.add(id);
-            }
-            default -> {
-                body.put("shape", "ensemble");
-                body.put("beads", 2L + random.nextInt(3));
-            }
+        Map<String, Object> body = RandomJob.body(random, id, teams, false);
+        if (RandomJob.isEndless(body)) {
+            rules.runMicros.put(id, Long.MAX_VALUE);
+            endless.add(id);
         }
-        body.put("rank", List.of("urgent", "normal", "normal", "idle").get(random.nextInt(4)));
         rules.runMicros.putIfAbsent(id, 300_000L + random.nextInt(5_000_000));
         rules.fetchMicros.put(id, (long) random.nextInt(1_500_000));
         rules.jobs.put(id, Json.objectOrEmpty(Json.bytes(body)));
