--- a/src/test/java/org/weldcourse/simulation/PeerProxy.java
+++ b/src/test/java/org/weldcourse/simulation/PeerProxy.java
@@ -11,6 +11,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.util.ReferenceCountUtil;
 import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -124,6 +125,8 @@
         @Override
         public void channelInactive(ChannelHandlerContext context) {
             relays.remove(this);
+            held.forEach(ReferenceCountUtil::release);
+            held.clear();
             to.close();
         }
 
