--- a/src/test/java/org/weldcourse/simulation/DeployedProgram.java
+++ b/src/test/java/org/weldcourse/simulation/DeployedProgram.java
@@ -8,6 +8,8 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.UnaryOperator;
 
@@ -16,6 +18,8 @@
     private static final int LOWEST_PORT = 10_000;
     private static final int PORTS = 22_000;
     private static final int MOST_TRIES = 200;
+    /** One that was handed out may not be listened on yet, or is to be listened on again. */
+    private static final Set<Integer> HANDED_OUT = ConcurrentHashMap.newKeySet();
 
     private DeployedProgram() {}
 
@@ -40,6 +44,9 @@
     public static int freePort() throws IOException {
         for (int tries = 0; tries < MOST_TRIES; tries++) {
             int port = LOWEST_PORT + ThreadLocalRandom.current().nextInt(PORTS);
+            if (!HANDED_OUT.add(port)) {
+                continue;
+            }
             try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
                 return socket.getLocalPort();
             } catch (BindException taken) {
--- a/src/test/java/org/weldcourse/soak/SoakRun.java
+++ b/src/test/java/org/weldcourse/soak/SoakRun.java
@@ -90,7 +90,7 @@
         for (String name : cluster.names()) {
             cluster.start(name);
         }
-        awaitLeader();
+        awaitControllers();
         users = cluster.on(() -> {
             SoakUsers made = new SoakUsers(cluster, TEAMS, seed, OPEN_JOBS);
             made.begin();
@@ -111,16 +111,27 @@
         faults.endThoseDueUntil(Long.MAX_VALUE);
     }
 
-    private void awaitLeader() throws Exception {
+    private void awaitControllers() throws Exception {
         long untilMillis = System.currentTimeMillis() + MOST_MILLIS_TO_LEAD;
-        while (cluster.leader() == null) {
+        while (cluster.leader() == null || !cluster.names().stream().allMatch(this::answers)) {
             if (System.currentTimeMillis() > untilMillis) {
-                throw new AssertionError("nobody leads");
+                throw new AssertionError("nobody leads, or not every controller answers");
             }
             Thread.sleep(100);
         }
     }
 
+    private boolean answers(String node) {
+        try {
+            return !SoakMetrics.scrape(cluster.api(node)).isEmpty();
+        } catch (IOException notYet) {
+            return false;
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
     static void sleepUntil(long atMillis) throws InterruptedException {
         long leftMillis = atMillis - System.currentTimeMillis();
         if (leftMillis > 0) {
