--- a/src/main/java/org/weldcourse/admission/JobEndings.java
+++ b/src/main/java/org/weldcourse/admission/JobEndings.java
@@ -64,7 +64,8 @@
     private void closed(Job job) {
         cluster.jobs.remove(job.spec.id());
         limits.jobEnded(job);
-        if (!job.bookings.isEmpty()) {
+        // Its last tasks may have gone while the record of them was being written.
+        if (!job.bookings.isEmpty() || job.isOutstandingOnRecord) {
             cluster.outstandingJobs.put(job.spec.id(), job);
             cluster.evict(job, 0);
         }
--- a/src/test/java/org/weldcourse/app/OutstandingTasksTest.java
+++ b/src/test/java/org/weldcourse/app/OutstandingTasksTest.java
@@ -76,6 +76,29 @@
         assertEquals(List.of(), world.state.keys("outstanding/"), "the record goes with the evidence");
     }
 
+    /** The evidence may come while the write of the record is under way. */
+    @Test
+    void theRecordGoesAlsoWhenTheEvidenceIsThereBeforeIt() {
+        machines(4);
+        submit(FIRST, 20, "shape", "ensemble");
+        awaitRunning(2);
+        world.time.passSeconds(19.5);
+        hangs = world.whereIs(FIRST + "/1");
+        hangs.freeze(true);
+        world.time.passSeconds(1);
+        world.slowState(1_200_000);
+        world.time.passSeconds(1.1);
+        assertEquals(List.of(), world.state.keys("outstanding/"), "the write is under way");
+        hangs.freeze(false);
+        world.time.passSeconds(0.1);
+        world.slowState(0);
+        world.time.passSeconds(2);
+        assertEquals("done", world.poll(world.alive().get(0), FIRST).state());
+        world.time.passSeconds(5);
+        assertEquals(List.of(), world.state.keys("outstanding/"));
+        assertTrue(world.outstandingWrites() > 0, "there was such a record");
+    }
+
     /** The test above would be worth nothing if it passed without the record that it is about. */
     @Test
     void withoutTheRecordOfWhatIsOutstandingTheLimitIsPassed() {
--- a/src/test/java/org/weldcourse/simulation/FakeState.java
+++ b/src/test/java/org/weldcourse/simulation/FakeState.java
@@ -109,6 +109,13 @@
         return requests;
     }
 
+    /** How often a key with this prefix was written. */
+    public int puts(String prefix) {
+        return (int) changes.stream()
+                .filter(change -> change.value != null && change.key.startsWith(prefix))
+                .count();
+    }
+
     public int writes() {
         return writes;
     }
--- a/src/test/java/org/weldcourse/simulation/SimulatedCluster.java
+++ b/src/test/java/org/weldcourse/simulation/SimulatedCluster.java
@@ -408,6 +408,11 @@
         stills.get(node).run(() -> controller.handle(request, (status, answer, retryAfterSeconds) -> {}));
     }
 
+    /** How often a record of what may still be on machines was written. */
+    public int outstandingWrites() {
+        return state.puts("outstanding/");
+    }
+
     /** A client of the state service that is no controller. */
     public Store storeOf(String client) {
         return new Store(net.caller(client), time, STATE);
--- a/src/test/java/org/weldcourse/soak/SoakRun.java
+++ b/src/test/java/org/weldcourse/soak/SoakRun.java
@@ -22,6 +22,7 @@
     private static final long MOST_IDLE_MILLIS = 90_000;
 
     private static final int MOST_EVENTS_KEPT = 400;
+    private static final int LARGE_FLEET = 50;
     private static final int OPEN_JOBS = 18;
     private static final List<Settings.Team> TEAMS = List.of(
             new Settings.Team("core", 4, 16, 0, 0),
@@ -84,6 +85,9 @@
     private void playFaults() throws Exception {
         cluster.on(() -> {
             cluster.faults().seed(seed);
+            if (settings.machines() >= LARGE_FLEET) {
+                rentAll();
+            }
             cluster.rules().alsoOnStart((task, attempt) -> note("start of " + task + " attempt " + attempt));
             return null;
         });
@@ -111,6 +115,13 @@
         faults.endThoseDueUntil(Long.MAX_VALUE);
     }
 
+    /** A large fleet is up from the start; its spot machines are kept for as long as the faults come. */
+    private void rentAll() {
+        for (int i = 0; i < settings.machines(); i++) {
+            cluster.cloud().unexpected("large", i % 2 == 0 ? "a" : "b", true);
+        }
+    }
+
     private void awaitControllers() throws Exception {
         long untilMillis = System.currentTimeMillis() + MOST_MILLIS_TO_LEAD;
         while (cluster.leader() == null || !cluster.names().stream().allMatch(this::answers)) {
