--- a/src/test/java/org/weldcourse/simulation/FakeStore.java
+++ b/src/test/java/org/weldcourse/simulation/FakeStore.java
@@ -31,7 +31,8 @@
     private int writes;
     private int requests;
     private long compactedRevision;
-    private Consumer<List<CommittedWrite>> onCommit = written -> {};
+    private final List<Consumer<List<CommittedWrite>>> commitListeners = new ArrayList<>();
+    private Consumer<String> injectionListener = key -> {};
     private String ignoredGuardPrefix;
     private String lostWritePrefix;
 
@@ -44,9 +45,14 @@
         this.maxValueBytes = maxValueBytes;
     }
 
-    /** Sets the listener that is called with the changes of each committed transaction. */
+    /** Adds a listener that is called with the changes of each committed transaction. */
     public void onCommit(Consumer<List<CommittedWrite>> listener) {
-        onCommit = listener;
+        commitListeners.add(listener);
+    }
+
+    /** Sets the listener that is called with each key that a test changes directly, without a transaction. */
+    void onInjection(Consumer<String> listener) {
+        injectionListener = listener;
     }
 
     /** Ignores guards on keys with this prefix from now on, as a store that fails to check them would. */
@@ -93,16 +99,19 @@
     public void putRecord(String key, Object value) {
         revision++;
         put(key, new Value(Json.objectOrEmpty(Json.bytes(value)), revision, 0));
+        injectionListener.accept(key);
     }
 
     /** Replaces the value of an existing key without a new version or a watch event. */
     public void corrupt(String key, Object value) {
         values.computeIfPresent(key, (same, old) -> new Value(value, old.version, old.lease));
+        injectionListener.accept(key);
     }
 
     /** Removes a key without a watch event. */
     public void removeWithoutEvent(String key) {
         values.remove(key);
+        injectionListener.accept(key);
     }
 
     public int requests() {
@@ -265,7 +274,7 @@
                             ? new CommittedWrite(Json.text(op, "write"), Json.object(op.get("value")), revision)
                             : new CommittedWrite(Json.text(op, "delete"), null, revision));
         }
-        onCommit.accept(written);
+        commitListeners.forEach(listener -> listener.accept(written));
     }
 
     private void put(String key, Value value) {
