Admit freed quota only once the task that held it is off the record

What callers saw: a team held 276 CPUs of 275 two seconds after a change of leader.

Cause: a task that was preempted, had finished or was lost gave its quota back in the leader's memory at once, while its admission stayed on record until its job was admitted anew. Other work of the team was admitted with that quota, so that the records held more than the limit: a right that had lapsed but still stood on record.

Change: ReleasedTasks keeps, for each record, the tasks without a booking that the record still contains. They count against the team for admissions and starts. The job's own admission takes them off in the same transaction; where another job waits for the quota, or the records exceed the limit, ReleasedTaskCleanup rewrites one record for all its released tasks first. AdmissionRecords checks the sum before each admission. Quota about to be freed counts when victims are chosen, so that none is preempted twice over, and stays with the first job in the queue. Teams without a limit write as before.

--- a/src/main/java/org/weldcourse/admission/Planner.java
+++ b/src/main/java/org/weldcourse/admission/Planner.java
@@ -68,10 +68,13 @@
             pendingTasks.add(new CycleDecisions.PendingTasks(job.spec(), wanted, true));
             return;
         }
-        // Reserved quota already counts as used, so it is released while its own job is being placed.
+        // Reserved quota already counts as used, so it is released while its own job is being placed. So is the quota
+        // of tasks that the job's own admission takes off the record: it is free for other jobs only after that write.
         usage.charge(job.spec(), -job.quotaReservedTasks());
-        int stillReserved = Math.max(0, job.quotaReservedTasks() - place(job, usage, wanted));
-        usage.charge(job.spec(), stillReserved);
+        usage.chargeReleased(job.spec(), -job.releasedTasks());
+        int placed = place(job, usage, wanted);
+        usage.chargeReleased(job.spec(), Math.max(0, job.releasedTasks() - placed));
+        usage.charge(job.spec(), Math.max(0, job.quotaReservedTasks() - placed));
     }
 
     /** Admits as much of the job as quota and capacity allow, and returns how many of its tasks now count as used. */
@@ -113,6 +116,9 @@
             pendingTasks.add(new CycleDecisions.PendingTasks(job.spec(), allowed - placed, false));
         } else if (placed < wanted) {
             pendingTasks.add(new CycleDecisions.PendingTasks(job.spec(), wanted - placed, true));
+            // Later jobs must not take the quota that is only waiting to be taken off the record.
+            int onceReleased = Math.min(wanted - placed, usage.tasksWithinLimitsOnceReleased(job.spec()));
+            usage.charge(job.spec(), onceReleased);
         }
         return placed;
     }
--- a/src/main/java/org/weldcourse/admission/QuotaPreemption.java
+++ b/src/main/java/org/weldcourse/admission/QuotaPreemption.java
@@ -50,8 +50,8 @@
         this.usages = usages;
         this.nowMicros = nowMicros;
         this.claimsGuarantee = usage.staysWithinGuarantee(job.spec(), tasks);
-        this.teamShortfall = new Shortfall(job.spec(), tasks - usage.tasksWithinTeamLimit(job.spec()));
-        this.cohortShortfall = new Shortfall(job.spec(), tasks - usage.tasksWithinCohortLimit(job.spec()));
+        this.teamShortfall = new Shortfall(job.spec(), tasks - usage.tasksWithinTeamLimitOnceReleased(job.spec()));
+        this.cohortShortfall = new Shortfall(job.spec(), tasks - usage.tasksWithinCohortLimitOnceReleased(job.spec()));
     }
 
     /** Adds a booked task to the candidates if it may be preempted for the job. */
--- a/src/main/java/org/weldcourse/admission/SnapshotBuilder.java
+++ b/src/main/java/org/weldcourse/admission/SnapshotBuilder.java
@@ -67,12 +67,20 @@
                         cluster.runTimes.expectedMicros(job),
                         zones,
                         job.excludedMachines(),
-                        quotas.reservedTasks(job)));
+                        quotas.reservedTasks(job),
+                        tasksReleasedByAdmission(job)));
             }
         }
         return new Snapshot(nowMicros, machines, jobs, teams);
     }
 
+    /** An admission rewrites one record that contains released tasks for certain; more may not fit its transaction. */
+    private int tasksReleasedByAdmission(Job job) {
+        boolean isRewritten = quotas.isLimited(job.spec().team())
+                && job.releasedTasks().keys().size() == 1;
+        return isRewritten ? job.releasedTaskCount() : 0;
+    }
+
     /** How long after its last heartbeat a machine may still get new tasks, in microseconds. */
     public long heartbeatTimeoutMicros() {
         return heartbeatTimeoutMicros;
--- a/src/main/java/org/weldcourse/admission/TeamUsage.java
+++ b/src/main/java/org/weldcourse/admission/TeamUsage.java
@@ -10,6 +10,10 @@
     private final TeamView team;
     private double cpus;
     private double gpus;
+    /** The part of the usage that ends once the admission records are rewritten. */
+    private double releasedCpus;
+
+    private double releasedGpus;
 
     /** The part of the guarantee that is claimed for waiting jobs; zero without a cohort. */
     private double claimedCpus;
@@ -23,6 +27,8 @@
         private final Snapshot.CohortView view;
         private double cpus;
         private double gpus;
+        private double releasedCpus;
+        private double releasedGpus;
         /**
          * Reserved for jobs that wait for the cohort's limit; not available to jobs that exceed their team's guarantee.
          */
@@ -46,6 +52,24 @@
         this.team = team;
         cpus = team.usedCpus();
         gpus = team.usedGpus();
+        addReleased(team.released().cpus(), team.released().gpus());
+    }
+
+    private void addReleased(double addedCpus, double addedGpus) {
+        releasedCpus += addedCpus;
+        releasedGpus += addedGpus;
+        if (cohort != null) {
+            cohort.releasedCpus += addedCpus;
+            cohort.releasedGpus += addedGpus;
+        }
+    }
+
+    /** Adds released tasks of the job that stay on record to the usage; a negative number subtracts them. */
+    void chargeReleased(JobSpec job, int tasks) {
+        if (tasks != 0) {
+            charge(job, tasks);
+            addReleased(job.cpus() * tasks, job.gpus() * tasks);
+        }
     }
 
     /** How many tasks of the job fit under the limits of the team and of its cohort. */
@@ -53,21 +77,43 @@
         return Math.min(tasksWithinTeamLimit(job), tasksWithinCohortLimit(job));
     }
 
+    /** How many tasks of the job will fit under both limits once the admission records are rewritten. */
+    int tasksWithinLimitsOnceReleased(JobSpec job) {
+        return Math.min(tasksWithinTeamLimitOnceReleased(job), tasksWithinCohortLimitOnceReleased(job));
+    }
+
     /** How many tasks of the job fit under the team's own limit. */
     int tasksWithinTeamLimit(JobSpec job) {
         return fits(job, team.team().cpusMax() - cpus, team.team().gpusMax() - gpus);
     }
 
+    /** How many tasks of the job will fit under the team's own limit once its records are rewritten. */
+    int tasksWithinTeamLimitOnceReleased(JobSpec job) {
+        return fits(
+                job, team.team().cpusMax() - cpus + releasedCpus, team.team().gpusMax() - gpus + releasedGpus);
+    }
+
     /**
      * How many tasks of the job fit under the cohort's limit. Claimed guarantees are not available to borrowers of any
      * priority: otherwise a preempted borrower could take the quota again before the claiming team uses it.
      */
     int tasksWithinCohortLimit(JobSpec job) {
-        if (cohort == null) {
-            return Integer.MAX_VALUE;
-        }
-        double freeCpus = cohort.view.cpusMax() - cohort.cpus;
-        double freeGpus = cohort.view.gpusMax() - cohort.gpus;
+        return cohort == null
+                ? Integer.MAX_VALUE
+                : tasksWithinCohortLimit(job, cohort.view.cpusMax() - cohort.cpus, cohort.view.gpusMax() - cohort.gpus);
+    }
+
+    /** How many tasks of the job will fit under the cohort's limit once its teams' records are rewritten. */
+    int tasksWithinCohortLimitOnceReleased(JobSpec job) {
+        return cohort == null
+                ? Integer.MAX_VALUE
+                : tasksWithinCohortLimit(
+                        job,
+                        cohort.view.cpusMax() - cohort.cpus + cohort.releasedCpus,
+                        cohort.view.gpusMax() - cohort.gpus + cohort.releasedGpus);
+    }
+
+    private int tasksWithinCohortLimit(JobSpec job, double freeCpus, double freeGpus) {
         return canStartWithinGuarantee(job)
                 ? fits(job, freeCpus, freeGpus)
                 : fits(
--- a/src/main/java/org/weldcourse/cluster/ClusterState.java
+++ b/src/main/java/org/weldcourse/cluster/ClusterState.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.weldcourse.quota.ResourceAmount;
 import org.weldcourse.workers.ExitCause;
 import org.weldcourse.workers.TaskId;
 import org.weldcourse.workers.TaskState;
@@ -54,6 +55,27 @@
         return tasksOfUnknownJobs;
     }
 
+    /**
+     * The usage that counts against the team's limit before anything more is admitted or started: besides bookings and
+     * unbooked tasks, the tasks that are released but still on record, because a later leader may start them.
+     */
+    public ResourceAmount usageOnRecord(String team) {
+        return quotaUsage.usedBy(team).plus(releasedOnRecord(team));
+    }
+
+    /** The amount of the team's tasks that are released but still on record. */
+    public ResourceAmount releasedOnRecord(String team) {
+        ResourceAmount released = ResourceAmount.ZERO;
+        for (Job job : jobs.values()) {
+            if (!job.releasedTasks().isEmpty()
+                    && !job.isClosed()
+                    && job.spec().team().equals(team)) {
+                released = released.plus(job.spec().quotaPerTask().times(job.releasedTaskCount()));
+            }
+        }
+        return released;
+    }
+
     /** Returns the machine of this name and adds it if it is not known yet. */
     public Machine getOrAddMachine(String name, long nowMicros) {
         return machines.computeIfAbsent(name, unknown -> new Machine(unknown, nowMicros));
@@ -81,12 +103,19 @@
     /** Removes a booking from its machine and its job without requeuing the task. */
     public void discard(Booking booking) {
         booking.job().removeBooking(booking.task());
+        keepOnRecord(booking);
         if (booking.machine().bookings.remove(booking.taskId(), booking)) {
             quotaUsage.removeBooked(booking.job().spec());
             booking.machine().invalidateAllocation();
         }
     }
 
+    private static void keepOnRecord(Booking booking) {
+        if (booking.recordKey() != null) {
+            booking.job().releasedTasks().add(booking.recordKey(), booking.task());
+        }
+    }
+
     /**
      * Releases a booking whose task is known not to be on the machine, or was never told to start there, and requeues
      * the task unless it is done. If a gang lost a task this way, the rest of the gang is evicted.
@@ -99,6 +128,7 @@
             machine.invalidateAllocation();
             LOG.debug("{} attempt {} released from {}: {}", booking.taskId(), booking.attempt(), machine.name, reason);
         }
+        keepOnRecord(booking);
         if (machine.bookings.isEmpty()) {
             machine.idleSinceMicros = nowMicros;
         }
--- a/src/main/java/org/weldcourse/cluster/Job.java
+++ b/src/main/java/org/weldcourse/cluster/Job.java
@@ -19,6 +19,7 @@
     private final JobSpec spec;
     private final long acceptedMicros;
     private final JobRecords records;
+    private final ReleasedTasks releasedTasks = new ReleasedTasks();
     private final BitSet done = new BitSet();
     private final BitSet persistedDone = new BitSet();
     /**
@@ -69,6 +70,41 @@
         return records;
     }
 
+    // Released tasks
+
+    /** The tasks without a booking that admission records still contain. */
+    public ReleasedTasks releasedTasks() {
+        return releasedTasks;
+    }
+
+    /**
+     * The number of released tasks that count as used: those that no record shows as finished and that are not booked
+     * again. The record contains either the tasks that a write in flight takes off or those that it admits instead,
+     * which count as bookings.
+     */
+    public int releasedTaskCount() {
+        int leaving = releasedTasks.leavingTasks();
+        int replaced = leaving == 0 ? 0 : (int) Math.min(leaving, countUnpersistedBookings());
+        return Math.max(0, releasedTaskCountOutside(Set.of()) - replaced);
+    }
+
+    private long countUnpersistedBookings() {
+        return bookings.values().stream()
+                .filter(booking -> !booking.isPersisted())
+                .count();
+    }
+
+    /** The released tasks that remain on record after a write of the records with these keys. */
+    public int releasedTaskCountOutside(Set<String> keys) {
+        if (releasedTasks.isEmpty()) {
+            return 0;
+        }
+        BitSet tasks = releasedTasks.tasksOutside(keys);
+        tasks.andNot(persistedDone);
+        tasks.andNot(doneOnlyInAdmissions);
+        return (int) tasks.stream().filter(task -> !bookings.containsKey(task)).count();
+    }
+
     // Finished tasks
 
     /** Whether the task has finished. */
--- a/src/main/java/org/weldcourse/cluster/Snapshot.java
+++ b/src/main/java/org/weldcourse/cluster/Snapshot.java
@@ -120,6 +120,8 @@
      * @param tasksByZone the number of booked tasks by zone, if the job has a zone constraint; else empty
      * @param excludedMachines names of machines that tasks of the job have failed on
      * @param quotaReservedTasks how many of the pending tasks already count as used by the team
+     * @param releasedTasks how many tasks count as used by the team only until an admission of this job rewrites its
+     *     record
      */
     public record JobView(
             JobSpec spec,
@@ -131,7 +133,8 @@
             long expectedRunMicros,
             Map<String, Integer> tasksByZone,
             Set<String> excludedMachines,
-            int quotaReservedTasks) {
+            int quotaReservedTasks,
+            int releasedTasks) {
         /** The binary logarithm, rounded down, of the pending tasks' work in CPU-seconds (in CPUs for a service). */
         public int remainingWorkLog2() {
             double cpuSeconds = pending.cardinality() * spec.cpus() * (spec.isService() ? 1 : expectedRunMicros / 1e6);
@@ -143,17 +146,19 @@
      * A team and its usage.
      *
      * @param team the team's guarantee and limit
+     * @param released the part of the usage that ends once the admission records are rewritten
      * @param cohort the cohort that the team borrows in, or null
      */
-    public record TeamView(Settings.Team team, double usedCpus, double usedGpus, CohortView cohort) {
+    public record TeamView(
+            Settings.Team team, double usedCpus, double usedGpus, ResourceAmount released, CohortView cohort) {
         /** Creates the view of a team without a cohort, with the usage that counts against its limit. */
-        public static TeamView of(Settings.Team team, ResourceAmount counted) {
-            return new TeamView(team, counted.cpus(), counted.gpus());
+        public static TeamView of(Settings.Team team, ResourceAmount counted, ResourceAmount released) {
+            return new TeamView(team, counted.cpus(), counted.gpus(), released, null);
         }
 
         /** Creates the view of a team without a cohort. */
         public TeamView(Settings.Team team, double usedCpus, double usedGpus) {
-            this(team, usedCpus, usedGpus, null);
+            this(team, usedCpus, usedGpus, ResourceAmount.ZERO, null);
         }
     }
 
--- a/src/main/java/org/weldcourse/leader/AdmissionCycle.java
+++ b/src/main/java/org/weldcourse/leader/AdmissionCycle.java
@@ -54,6 +54,7 @@
     private final CapacityDemandEstimator demandEstimator;
     private final TaskEviction taskEviction;
     private final JobCompletionHandler jobCompletion;
+    private final ReleasedTaskCleanup releasedTaskCleanup;
     private final DirectCommands directCommands;
     private final int maxTasksPerAdmission;
 
@@ -84,6 +85,7 @@
         this.taskEviction =
                 new TaskEviction(cluster, dependencies.settings().workers().gangWaitMicros());
         this.jobCompletion = new JobCompletionHandler(cluster, recordWriter, quotas, taskEviction, this::wakeIn);
+        this.releasedTaskCleanup = new ReleasedTaskCleanup(cluster, quotas, recordWriter);
         this.directCommands = new DirectCommands(
                 cluster,
                 commands,
@@ -144,6 +146,7 @@
         countAndLogPending(decisions.pending());
         autoscaler.updateDemand(demandEstimator.demand(decisions.pending()), decisions.reservedMachines());
         quotas.cycleEnded(decisions.pending(), nowMicros);
+        releasedTaskCleanup.run(decisions.pending());
     }
 
     private void preempt(CycleDecisions.Preemption preemption) {
--- a/src/main/java/org/weldcourse/leader/LeaderTerm.java
+++ b/src/main/java/org/weldcourse/leader/LeaderTerm.java
@@ -184,6 +184,17 @@
             quotas.addPreconditions(admission, job);
         }
 
+        @Override
+        public boolean isQuotaLimited(Job job) {
+            return quotas.isLimited(job.spec().team());
+        }
+
+        @Override
+        public boolean allowsOnRecord(Job job, int tasksTakenOffRecord) {
+            return quotas.allowsOnRecord(
+                    job.spec().team(), job.spec().quotaPerTask().times(tasksTakenOffRecord));
+        }
+
         @Override
         public void conditionsFailed(Job job, List<Object> keys) {
             quotas.preconditionFailed(job, keys);
--- a/src/main/java/org/weldcourse/persistence/AdmissionRecords.java
+++ b/src/main/java/org/weldcourse/persistence/AdmissionRecords.java
@@ -1,9 +1,12 @@
 package org.weldcourse.persistence;
 
+import java.util.ArrayList;
 import java.util.BitSet;
+import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.weldcourse.cluster.Booking;
 import org.weldcourse.cluster.Job;
 import org.weldcourse.jobs.AdmissionRecordCodec;
@@ -20,23 +23,29 @@
     private final JobRecordCommits commits;
     private final FinishedTaskLayout layout;
     private final int safeTransactionOps;
+    private final RecordWriter.Listener listener;
 
     AdmissionRecords(
-            FencedCommits fenced, JobRecordCommits commits, FinishedTaskLayout layout, int safeTransactionOps) {
+            FencedCommits fenced,
+            JobRecordCommits commits,
+            FinishedTaskLayout layout,
+            int safeTransactionOps,
+            RecordWriter.Listener listener) {
         this.fenced = fenced;
         this.commits = commits;
         this.layout = layout;
         this.safeTransactionOps = safeTransactionOps;
+        this.listener = listener;
     }
 
     /**
      * Writes an admission with the given commit, which may already hold conditions. If it fits, the admission is added
      * to an existing record of the job, together with the finished tasks: the store limits the rate of writes more
-     * tightly than their size.
+     * tightly than their size. Nothing is written if the records would then admit more than the team's limit.
      */
     void admit(Job job, int attempt, List<Booking> booked, Transaction txn, RecordWriter.WriteCallback callback) {
         Map<String, AdmittedTasks> writes = new LinkedHashMap<>();
-        for (String key : job.records().keys()) {
+        for (String key : keysToExtend(job)) {
             if (key.startsWith(StoreKeys.ADMISSIONS)) {
                 AdmittedTasks combined = addAll(currentContent(job, key), attempt, booked);
                 if (combined.split(layout.admissionBytes(job)).size() == 1) {
@@ -48,7 +57,52 @@
         if (writes.isEmpty()) {
             writes.putAll(splitIntoRecords(job, addAll(new AdmittedTasks(), attempt, booked), null));
         }
-        write(job, txn, writes, callback);
+        if (!listener.isQuotaLimited(job)) {
+            write(job, txn, writes, callback);
+            return;
+        }
+        addRecordsWithReleasedTasks(job, writes);
+        int takenOff = job.releasedTaskCount() - job.releasedTaskCountOutside(writes.keySet());
+        if (listener.allowsOnRecord(job, takenOff)) {
+            write(job, txn, writes, callback);
+        } else {
+            callback.completed(false);
+        }
+    }
+
+    /** The job's records in the order in which an admission tries to extend them: those that it rewrites anyway first. */
+    private List<String> keysToExtend(Job job) {
+        List<String> keys = new ArrayList<>(job.records().keys());
+        if (listener.isQuotaLimited(job)) {
+            Set<String> released = job.releasedTasks().keys();
+            keys.sort(Comparator.comparing(key -> !released.contains(key)));
+        }
+        return keys;
+    }
+
+    /** Adds rewrites of the records that contain released tasks, as many as one transaction may hold. */
+    private void addRecordsWithReleasedTasks(Job job, Map<String, AdmittedTasks> writes) {
+        for (String key : job.releasedTasks().keys()) {
+            AdmittedTasks current = currentContent(job, key);
+            boolean fitsOneRecord = current.split(layout.admissionBytes(job)).size() <= 1;
+            if (fitsOneRecord && writes.size() < safeTransactionOps) {
+                writes.putIfAbsent(key, current);
+            }
+        }
+    }
+
+    /** Takes released tasks off the job's records with one transaction. */
+    void removeReleasedTasks(Job job, RecordWriter.WriteCallback callback) {
+        Map<String, AdmittedTasks> writes = new LinkedHashMap<>();
+        addRecordsWithReleasedTasks(job, writes);
+        if (writes.isEmpty() && !job.releasedTasks().isEmpty()) {
+            // A record that was written under larger limits has to be split.
+            String key = job.releasedTasks().keys().iterator().next();
+            writes.putAll(splitIntoRecords(job, currentContent(job, key), key));
+        }
+        if (!writes.isEmpty() && writes.size() <= safeTransactionOps) {
+            write(job, fenced.newTransaction(), writes, callback);
+        }
     }
 
     private static AdmittedTasks addAll(AdmittedTasks admitted, int attempt, List<Booking> booked) {
@@ -109,15 +163,19 @@
     private void write(
             Job job, Transaction txn, Map<String, AdmittedTasks> writes, RecordWriter.WriteCallback callback) {
         BitSet done = layout.isInAdmissions(job) ? job.doneTasks() : null;
+        Map<String, BitSet> releasedBefore = job.releasedTasks().in(writes.keySet());
+        job.releasedTasks().setLeavingTasks(job.releasedTaskCount() - job.releasedTaskCountOutside(writes.keySet()));
         int writeNumber = job.records().nextWriteNumber();
         Map<String, Map<String, Object>> records = new LinkedHashMap<>();
         writes.forEach((key, part) ->
                 records.put(key, AdmissionRecordCodec.encode(part, job.lastAttempt(), writeNumber, done)));
         commits.commit(job, txn, records, writeNumber, persisted -> {
+            job.releasedTasks().setLeavingTasks(0);
             if (persisted && done != null) {
                 job.markDonePersisted(done);
             }
             if (persisted) {
+                job.releasedTasks().removeAll(releasedBefore);
                 writes.forEach((key, part) -> setRecordKeys(job, key, part));
             }
             callback.completed(persisted);
@@ -130,6 +188,8 @@
                 Booking booking = job.booking(task);
                 if (booking != null && booking.attempt() == attempt) {
                     booking.setRecordKey(key);
+                } else {
+                    job.releasedTasks().add(key, task);
                 }
             }
         });
--- a/src/main/java/org/weldcourse/persistence/FailoverRecovery.java
+++ b/src/main/java/org/weldcourse/persistence/FailoverRecovery.java
@@ -137,7 +137,11 @@
     private void restoreBooking(Job job, int task, int attempt, String machineName, String recordKey, long nowMicros) {
         job.recordAttempt(attempt);
         Booking earlier = job.booking(task);
-        if (job.isDone(task) || earlier != null && earlier.attempt() >= attempt) {
+        if (job.isDone(task)) {
+            return;
+        }
+        if (earlier != null && earlier.attempt() >= attempt) {
+            job.releasedTasks().add(recordKey, task);
             return;
         }
         if (earlier != null) {
--- a/src/main/java/org/weldcourse/persistence/RecordWriter.java
+++ b/src/main/java/org/weldcourse/persistence/RecordWriter.java
@@ -40,6 +40,19 @@
         /** Adds conditions to the admission of a job, besides those on the job and the fencing token. */
         default void addAdmissionConditions(Transaction admission, Job job) {}
 
+        /** Whether a quota limit applies to the job, so that released tasks on record must be accounted for. */
+        default boolean isQuotaLimited(Job job) {
+            return false;
+        }
+
+        /**
+         * Whether the limits allow what all records would admit after a write that takes this many released tasks of
+         * the job off them.
+         */
+        default boolean allowsOnRecord(Job job, int tasksTakenOffRecord) {
+            return true;
+        }
+
         /** A write of the job's records was refused because these keys have other revisions than expected. */
         default void conditionsFailed(Job job, List<Object> keys) {}
     }
@@ -64,7 +77,7 @@
         ConfirmedCommits confirmed = new ConfirmedCommits(store, timers, fenced);
         this.jobCloser = new JobCloser(timers, fenced, confirmed, limits, listener);
         this.jobRecords = new JobRecordCommits(store, clock, timers, fenced, confirmed, listener);
-        this.admissions = new AdmissionRecords(fenced, jobRecords, layout, limits.safeTransactionOps());
+        this.admissions = new AdmissionRecords(fenced, jobRecords, layout, limits.safeTransactionOps(), listener);
         this.shards = new FinishedTaskShards(fenced, jobRecords, layout, limits.safeTransactionOps());
     }
 
@@ -142,6 +155,23 @@
         }
     }
 
+    /**
+     * Takes released tasks of an open job off its admission records, so that others may be admitted with their quota.
+     * Sends nothing while another write of the job is in flight or the write budget is used up.
+     */
+    public void removeReleasedTasks(Job job) {
+        boolean isWritable = !job.records().isWriteInFlight() && !job.isClosing() && !job.isClosed() && !job.isStale();
+        if (!isWritable || fenced.availableOperations() <= 0) {
+            return;
+        }
+        WriteCallback callback = persisted -> listener.recordWritten(job);
+        if (!layout.isInAdmissions(job) && job.hasUnpersistedDone()) {
+            shards.save(job, callback);
+        } else {
+            admissions.removeReleasedTasks(job, callback);
+        }
+    }
+
     /** Creates a restorer for the records that this writer writes. */
     JobRecordRestorer restorer() {
         return new JobRecordRestorer(layout);
--- a/src/main/java/org/weldcourse/quota/enforcement/LedgerQuotaEnforcement.java
+++ b/src/main/java/org/weldcourse/quota/enforcement/LedgerQuotaEnforcement.java
@@ -184,20 +184,16 @@
                 waitingTeams.add(pending.spec().team());
             }
         }
-        waitingTeams.addAll(cohortMembers(waitingTeams));
         // The cycle has added bookings since its snapshot was taken, so the division takes a new snapshot if it has any
         // team to consider.
-        budgets.divide(waitingTeams, this::takeSnapshot, nowMicros);
+        budgets.divide(teamsSharingLimits(waitingTeams), this::takeSnapshot, nowMicros);
         seeder.seedMissing(nowMicros);
     }
 
-    /**
-     * Returns the members of the waiting teams' cohorts: a job that waits for a cohort's limit may be blocked by the
-     * budgets of another team in the cohort.
-     */
-    private Set<String> cohortMembers(Set<String> waitingTeams) {
-        Set<String> members = new HashSet<>();
-        for (String team : waitingTeams) {
+    @Override
+    public Set<String> teamsSharingLimits(Set<String> teams) {
+        Set<String> members = new HashSet<>(teams);
+        for (String team : teams) {
             EffectiveQuota quota = ledger.quota(team);
             if (quota != null && quota.cohort() != null) {
                 monitor.members(quota.cohort())
@@ -219,7 +215,19 @@
 
     @Override
     public boolean isLimitExceeded(String team) {
-        return monitor.isOver(team, cluster.quotaUsage::usedBy);
+        return monitor.isOver(team, cluster::usageOnRecord);
+    }
+
+    @Override
+    public boolean isLimited(String team) {
+        EffectiveQuota quota = ledger.quota(team);
+        return quota != null && (!quota.team().limit().isUnlimited() || quota.cohort() != null);
+    }
+
+    @Override
+    public boolean allowsOnRecord(String team, ResourceAmount less) {
+        return !monitor.isOver(
+                team, member -> cluster.usageOnRecord(member).minus(member.equals(team) ? less : ResourceAmount.ZERO));
     }
 
     @Override
--- a/src/main/java/org/weldcourse/quota/enforcement/QuotaEnforcement.java
+++ b/src/main/java/org/weldcourse/quota/enforcement/QuotaEnforcement.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.weldcourse.admission.CycleDecisions;
 import org.weldcourse.cluster.Booking;
 import org.weldcourse.cluster.Job;
@@ -48,6 +49,15 @@
     /** Returns the bookings to stop because their team or cohort uses more than its limit. */
     List<Booking> bookingsOverQuota();
 
+    /** Returns whether a limit of the team or of its cohort applies. */
+    boolean isLimited(String team);
+
+    /** Returns these teams and all that share a limit with one of them. */
+    Set<String> teamsSharingLimits(Set<String> teams);
+
+    /** Returns whether a limit allows the team's usage on record, changed by this amount less. */
+    boolean allowsOnRecord(String team, ResourceAmount less);
+
     /** Returns the team's limit, which may be unlimited. */
     ResourceAmount limit(String team);
 
--- a/src/main/java/org/weldcourse/quota/enforcement/QuotaSnapshot.java
+++ b/src/main/java/org/weldcourse/quota/enforcement/QuotaSnapshot.java
@@ -59,7 +59,7 @@
         if (quota == null) {
             return;
         }
-        ResourceAmount used = cluster.quotaUsage.usedBy(team).plus(reservations.outstandingBudgets(team));
+        ResourceAmount used = cluster.usageOnRecord(team).plus(reservations.outstandingBudgets(team));
         teamHeadrooms.put(team, new QuotaHeadroom(quota.team().limit(), used));
         CohortQuota cohort = quota.cohort();
         if (cohort == null) {
@@ -78,7 +78,7 @@
         ResourceAmount sum = ResourceAmount.ZERO;
         for (Settings.Team team : settings.teams()) {
             if (ledger.quota(team.name()) == null && ledger.mayBelongTo(team.name(), cohort)) {
-                sum = sum.plus(cluster.quotaUsage.usedBy(team.name()));
+                sum = sum.plus(cluster.usageOnRecord(team.name()));
             }
         }
         return sum;
@@ -167,11 +167,11 @@
                     quota.team().guarantee().gpus(),
                     quota.team().limit().gpuLimit());
             ResourceAmount used = teamHeadrooms.get(name).used();
-            return new TeamView(teamQuota, used.cpus(), used.gpus(), cohortView(quota));
+            return new TeamView(teamQuota, used.cpus(), used.gpus(), cluster.releasedOnRecord(name), cohortView(quota));
         }
         boolean isUnrecorded = ledgerIsCurrent && ledger.quota(name) == null && !ledger.isUnreadable(name);
         return isUnrecorded
-                ? TeamView.of(team, cluster.quotaUsage.usedBy(name))
+                ? TeamView.of(team, cluster.usageOnRecord(name), cluster.releasedOnRecord(name))
                 : new TeamView(team, Double.POSITIVE_INFINITY, Double.POSITIVE_INFINITY);
     }
 
--- a/src/main/java/org/weldcourse/quota/enforcement/SettingsQuotaEnforcement.java
+++ b/src/main/java/org/weldcourse/quota/enforcement/SettingsQuotaEnforcement.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.weldcourse.admission.CycleDecisions;
 import org.weldcourse.cluster.Booking;
 import org.weldcourse.cluster.ClusterState;
@@ -36,7 +37,11 @@
     public List<TeamView> teamViews(long nowMicros) {
         List<TeamView> teams = new ArrayList<>();
         for (Settings.Team team : settings.teams()) {
-            teams.add(TeamView.of(team, cluster.quotaUsage.usedBy(team.name())));
+            String name = team.name();
+            teams.add(TeamView.of(
+                    team,
+                    isLimited(name) ? cluster.usageOnRecord(name) : cluster.quotaUsage.usedBy(name),
+                    isLimited(name) ? cluster.releasedOnRecord(name) : ResourceAmount.ZERO));
         }
         return teams;
     }
@@ -79,7 +84,24 @@
 
     @Override
     public boolean isLimitExceeded(String team) {
-        return QuotaInvariant.isExceeded(limit(team), cluster.quotaUsage.usedBy(team));
+        return isLimited(team) && QuotaInvariant.isExceeded(limit(team), cluster.usageOnRecord(team));
+    }
+
+    @Override
+    public boolean isLimited(String team) {
+        return !limit(team).isUnlimited();
+    }
+
+    @Override
+    public Set<String> teamsSharingLimits(Set<String> teams) {
+        return teams;
+    }
+
+    @Override
+    public boolean allowsOnRecord(String team, ResourceAmount less) {
+        return !isLimited(team)
+                || !QuotaInvariant.isExceeded(
+                        limit(team), cluster.usageOnRecord(team).minus(less));
     }
 
     @Override
@@ -93,7 +115,7 @@
         for (Settings.Team team : settings.teams()) {
             String name = team.name();
             if (isLimitExceeded(name)) {
-                text.append(OverQuotaText.ofTeam(name, cluster.quotaUsage.usedBy(name), limit(name)))
+                text.append(OverQuotaText.ofTeam(name, cluster.usageOnRecord(name), limit(name)))
                         .append("; ");
             }
         }
--- a/src/main/java/org/weldcourse/workers/StartAuthorization.java
+++ b/src/main/java/org/weldcourse/workers/StartAuthorization.java
@@ -29,7 +29,7 @@
         /** Whether the team's bookings alone exceed its limit. */
         boolean isOverbooked(String team);
 
-        /** Whether the team's whole usage, bookings and unbooked tasks together, exceeds its limit. */
+        /** Whether the team's whole usage, with unbooked tasks and released tasks on record, exceeds its limit. */
         boolean isLimitExceeded(String team);
 
         /** Describes the team's limit for logs. */
@@ -107,7 +107,7 @@
         counts.countWithheld();
         if (shouldLogRefusal(team, nowMicros)) {
             LOG.info(
-                    "withheld the start of {} attempt {} on {} because of unbooked tasks: {}",
+                    "withheld the start of {} attempt {} on {} because of tasks without a booking: {}",
                     booking.taskId(),
                     booking.attempt(),
                     booking.machine().name,
@@ -141,7 +141,8 @@
 
     private String describeUsage(String team) {
         QuotaUsage usage = cluster.quotaUsage;
-        return "team " + team + " uses " + usage.bookedBy(team) + " booked and " + usage.unbookedBy(team)
-                + " unbooked, limit " + quotas.describeLimit(team);
+        return "team " + team + " uses " + usage.bookedBy(team) + " booked, " + usage.unbookedBy(team)
+                + " unbooked and " + cluster.releasedOnRecord(team) + " released on record, limit "
+                + quotas.describeLimit(team);
     }
 }
--- a/src/main/java/org/weldcourse/workers/StartCounts.java
+++ b/src/main/java/org/weldcourse/workers/StartCounts.java
@@ -23,7 +23,7 @@
         return started;
     }
 
-    /** The number of refusals because unbooked tasks take the team above its limit. */
+    /** The number of refusals because unbooked tasks or released tasks on record take the team above its limit. */
     public long withheld() {
         return withheld;
     }
--- a/src/test/java/org/weldcourse/admission/PlannerTest.java
+++ b/src/test/java/org/weldcourse/admission/PlannerTest.java
@@ -58,6 +58,7 @@
                 30 * SECOND,
                 Map.of(),
                 Set.of(),
+                0,
                 0);
     }
 
@@ -115,7 +116,7 @@
                 machine("m-3", new TaskView(running, 0, false, NOW - SECOND, 60 * SECOND)));
         JobSpec idle = spec("req-000008", "rank", "idle", "beads", 2);
         JobView array =
-                new JobView(idle, pending(2), NOW, false, new long[0], NOW + SECOND, SECOND, Map.of(), Set.of(), 0);
+                new JobView(idle, pending(2), NOW, false, new long[0], NOW + SECOND, SECOND, Map.of(), Set.of(), 0, 0);
         // The large gang is overdue: the small gang behind it must not take the machines that it waits for.
         CycleDecisions decisions = decide(AMPLE_LIMITS, machines, gang(1, 3, 160), gang(2, 1, 160 - 1), array);
         assertEquals(List.of("req-000008"), admitted(decisions));
@@ -161,7 +162,8 @@
         TaskView second = new TaskView(service, 1, false, NOW - 60 * SECOND, Long.MAX_VALUE / 2);
         BitSet lost = new BitSet();
         lost.set(4, 6);
-        JobView waiting = new JobView(service, lost, NOW, true, new long[0], NOW, SECOND, Map.of("a", 4), Set.of(), 0);
+        JobView waiting =
+                new JobView(service, lost, NOW, true, new long[0], NOW, SECOND, Map.of("a", 4), Set.of(), 0, 0);
         // The fullest machine would come first, but it already runs a third of this service.
         List<MachineView> machines = List.of(machine("m-1", first, second), machine("m-2", first), machine("m-3"));
         Map<String, int[]> tasks =
@@ -172,7 +174,7 @@
     private static JobView service(int replicas) throws Exception {
         JobSpec spec = spec(
                 "req-000001", "shape", "service", "rank", "prod", "beads", replicas, "cpus", 1.0, "expected_s", 0.0);
-        return new JobView(spec, pending(replicas), NOW, false, new long[0], NOW, SECOND, Map.of(), Set.of(), 0);
+        return new JobView(spec, pending(replicas), NOW, false, new long[0], NOW, SECOND, Map.of(), Set.of(), 0, 0);
     }
 
     @Test
@@ -217,7 +219,7 @@
                 new TaskView(other, 0, false, NOW - 29 * SECOND, 30 * SECOND),
                 new TaskView(other, 1, false, NOW, 30 * SECOND));
         JobSpec idle = spec("req-000008", "beads", 20, "cpus", 4.0);
-        JobView array = new JobView(idle, pending(20), NOW, false, new long[0], NOW, SECOND, Map.of(), Set.of(), 0);
+        JobView array = new JobView(idle, pending(20), NOW, false, new long[0], NOW, SECOND, Map.of(), Set.of(), 0, 0);
         CycleDecisions decisions = decide(AMPLE_LIMITS, List.of(ending), array);
         assertEquals(2, decisions.admissions().get(0).tasks().get("m-1").length);
         assertEquals(18, decisions.pending().get(0).tasks());
--- a/src/test/java/org/weldcourse/app/OutstandingTasksTest.java
+++ b/src/test/java/org/weldcourse/app/OutstandingTasksTest.java
@@ -98,7 +98,7 @@
         assertEquals("done", cluster.poll(cluster.alive().get(0), FIRST).state());
         cluster.clock.passSeconds(5);
         assertEquals(List.of(), cluster.store.keys("outstanding/"));
-        assertTrue(cluster.outstandingWrites() > 0, "an outstanding record was written");
+        assertTrue(cluster.store.puts("outstanding/") > 0, "an outstanding record was written");
     }
 
     /** Shows that the outstanding record is what upholds the limit: without it, the same scenario exceeds the limit. */
--- a/src/test/java/org/weldcourse/app/RecordedAdmissionsTest.java
+++ b/src/test/java/org/weldcourse/app/RecordedAdmissionsTest.java
@@ -10,7 +10,6 @@
 import org.weldcourse.settings.OperatorSettings;
 import org.weldcourse.settings.Settings;
 import org.weldcourse.simulation.RecordReplayingLeader;
-import org.weldcourse.simulation.RecordedQuotaInvariant;
 import org.weldcourse.simulation.SimulatedCluster;
 
 /** Guards against admission records that a later leader of any version can't start without exceeding a team's limit. */
@@ -22,10 +21,6 @@
     private final SimulatedCluster cluster =
             new SimulatedCluster(3, 16, 32 * 1024, TEAMS, OperatorSettings.TeamLimitSource.SETTINGS);
 
-    private void checkRecords() {
-        new RecordedQuotaInvariant(cluster.store, TEAMS, cluster.settings("n0").storeLimits()).enforce();
-    }
-
     private String addMachine() {
         cluster.clock.passSeconds(2);
         cluster.cloud.addUnrequested("large", "a", false);
@@ -61,7 +56,6 @@
 
     @Test
     void preemptedTasksDoNotStayOnRecordBesideTheGangThatPreemptedThem() {
-        checkRecords();
         addMachine();
         cluster.submit("n0", jobBody(ARRAY, "crew", "capped"));
         cluster.clock.passSeconds(4);
@@ -84,7 +78,6 @@
 
     @Test
     void finishedTasksDoNotStayOnRecordBesideTheJobThatTookTheirQuota() {
-        checkRecords();
         addMachine();
         cluster.runMicros.put(ARRAY, 2_000_000L);
         cluster.submit("n0", jobBody(ARRAY, "crew", "capped", "beads", 3));
--- a/src/test/java/org/weldcourse/simulation/RecordedQuotaInvariant.java
+++ b/src/test/java/org/weldcourse/simulation/RecordedQuotaInvariant.java
@@ -24,7 +24,7 @@
  * leader may start every task that counts. Sums above a limit that a test injects, or that a lowered limit leaves, may
  * only shrink.
  */
-public final class RecordedQuotaInvariant {
+final class RecordedQuotaInvariant {
     private final FakeStore store;
     private final JobRecordRestorer restorer;
     private final Map<String, ResourceAmount> limitByTeam = new HashMap<>();
@@ -32,14 +32,14 @@
 
     private record JobUsage(String team, ResourceAmount admitted) {}
 
-    public RecordedQuotaInvariant(FakeStore store, List<Settings.Team> teams, Settings.StoreLimits limits) {
+    RecordedQuotaInvariant(FakeStore store, List<Settings.Team> teams, Settings.StoreLimits limits) {
         this.store = store;
         this.restorer = new JobRecordRestorer(limits);
         teams.forEach(team -> limitByTeam.put(team.name(), ResourceAmount.limit(team.cpusMax(), team.gpusMax())));
     }
 
     /** Starts to check every commit. */
-    public void enforce() {
+    void enforce() {
         store.onInjection(key -> recount(StoreKeys.jobId(key)));
         store.onCommit(this::check);
     }
--- a/src/test/java/org/weldcourse/simulation/SimulatedCluster.java
+++ b/src/test/java/org/weldcourse/simulation/SimulatedCluster.java
@@ -104,6 +104,7 @@
         network.host(STORE, store);
         network.host(CLOUD, cloud);
         Settings.StoreLimits storeLimits = new Settings.StoreLimits(250, 50, maxValueBytes, maxTransactionOps, next);
+        new RecordedQuotaInvariant(store, teams, storeLimits).enforce();
         controllers = new SimulatedControllers(nodes, clock, network, teams, objectives, storeLimits, operatorSettings);
         controllers.startAll();
         tick();
@@ -313,11 +314,6 @@
                                 new ApiResponse(status, Json.objectOrEmpty(Json.bytes(response)), retryAfterSeconds)));
     }
 
-    /** Number of writes to the records of outstanding tasks. */
-    public int outstandingWrites() {
-        return store.puts("outstanding/");
-    }
-
     /** Returns a store client that belongs to no controller. */
     public Store storeClient(String client) {
         return new Store(network.client(client), clock, STORE);
