Say who leads with which version, what its records hold, and why the first starts were allowed

Cause: the kept lines of the incident told the version of the leader only by their wording, and nothing told what the records held for the team or what allowed the start: that was written at debug alone.

Change: one line at each election with token, name and version; one line a team with a limit when the records are restored, with what they admit and the limit, a warning where they hold more; the first 20 starts of a term at info with record, use and limit; metrics for tasks that are released and still on record, and for admissions that were not written. The program's version is 0.4.0, so that it differs from what serves today. Bounded: 20 lines and one a team for each term.

--- a/src/main/java/org/weldcourse/app/Controller.java
+++ b/src/main/java/org/weldcourse/app/Controller.java
@@ -1,6 +1,8 @@
 package org.weldcourse.app;
 
 import java.util.Optional;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.weldcourse.election.LeaderElection;
 import org.weldcourse.fleet.CloudClient;
 import org.weldcourse.fleet.MachineTypeCatalog;
@@ -31,6 +33,8 @@
  * it holds itself is the leader term, which lasts from this node's election until the node loses leadership.
  */
 public final class Controller {
+    private static final Logger LOG = LoggerFactory.getLogger(Controller.class);
+
     private final Settings settings;
     private final Clock clock;
     private final Timers timers;
@@ -173,6 +177,7 @@
     private final class ElectionEvents implements LeaderElection.Listener {
         @Override
         public void elected(long fencingToken, long fencingTokenVersion) {
+            LOG.info("fencing token {}: {} leads, version {}", fencingToken, settings.nodeName(), Main.VERSION);
             term = new LeaderTerm(leaderTermDependencies, fencingToken, fencingTokenVersion);
             term.start();
         }
--- a/src/main/java/org/weldcourse/app/ControllerMetrics.java
+++ b/src/main/java/org/weldcourse/app/ControllerMetrics.java
@@ -14,8 +14,12 @@
         text.add("starts_total", "Tasks that workers were told to run.", counts.started());
         text.add(
                 "starts_withheld_total",
-                "Starts withheld because running tasks without a booking still count against the limit.",
+                "Starts withheld because tasks without a booking, running or on record, count against the limit.",
                 counts.withheld());
+        text.add(
+                "admissions_withheld_total",
+                "Admissions that would have taken the records above a limit, and were not written.",
+                counts.admissionsWithheld());
         text.add(
                 "limit_violations_total",
                 "Starts refused because a team's bookings exceeded its limit, which indicates a bug.",
@@ -33,13 +37,28 @@
     }
 
     @Override
-    public void reportTeam(String team, ResourceAmount booked, ResourceAmount unbooked, ResourceAmount limit) {
+    public void reportTeam(
+            String team,
+            ResourceAmount booked,
+            ResourceAmount unbooked,
+            ResourceAmount released,
+            ResourceAmount limit) {
         text.addForTeam("team_booked_cpus", "CPUs of the team's bookings.", team, booked.cpus());
         text.addForTeam("team_booked_gpus", "GPUs of the team's bookings.", team, booked.gpus());
         text.addForTeam(
                 "team_unbooked_cpus", "CPUs of the team's tasks that run without a booking.", team, unbooked.cpus());
         text.addForTeam(
                 "team_unbooked_gpus", "GPUs of the team's tasks that run without a booking.", team, unbooked.gpus());
+        text.addForTeam(
+                "team_released_cpus",
+                "CPUs of the team's tasks that are off their machines and still on record.",
+                team,
+                released.cpus());
+        text.addForTeam(
+                "team_released_gpus",
+                "GPUs of the team's tasks that are off their machines and still on record.",
+                team,
+                released.gpus());
         text.addForTeam(
                 "team_limit_cpus",
                 "The team's limit in CPUs; +Inf means no limit.",
--- a/src/main/java/org/weldcourse/app/Main.java
+++ b/src/main/java/org/weldcourse/app/Main.java
@@ -9,7 +9,7 @@
 /** The program's entry point: configures logging, runs the command line and reports errors. */
 public final class Main {
     /** The program's version, logged at startup and in every status line so that operators can follow an upgrade. */
-    static final String VERSION = "0.3.0";
+    static final String VERSION = "0.4.0";
 
     /** The exit code of a failed command. */
     static final int EXIT_FAILURE = 1;
--- a/src/main/java/org/weldcourse/leader/LeaderTerm.java
+++ b/src/main/java/org/weldcourse/leader/LeaderTerm.java
@@ -66,6 +66,7 @@
                 new RecordReaderListener());
         this.autoscaler = newAutoscaler();
         StartAuthorization startAuthorization = new StartAuthorization(cluster, quotas, dependencies.startCounts());
+        startAuthorization.logFirstStarts();
         CommandSelector commands = new CommandSelector(cluster, startAuthorization);
         HeartbeatReconciler reconciler = new HeartbeatReconciler(
                 cluster,
@@ -158,7 +159,11 @@
         for (Settings.Team team : dependencies.settings().teams()) {
             String name = team.name();
             metrics.reportTeam(
-                    name, cluster.quotaUsage.bookedBy(name), cluster.quotaUsage.unbookedBy(name), quotas.limit(name));
+                    name,
+                    cluster.quotaUsage.bookedBy(name),
+                    cluster.quotaUsage.unbookedBy(name),
+                    cluster.releasedOnRecord(name),
+                    quotas.limit(name));
         }
     }
 
@@ -191,8 +196,12 @@
 
         @Override
         public boolean allowsOnRecord(Job job, int tasksTakenOffRecord) {
-            return quotas.allowsOnRecord(
+            boolean isAllowed = quotas.allowsOnRecord(
                     job.spec().team(), job.spec().quotaPerTask().times(tasksTakenOffRecord));
+            if (!isAllowed) {
+                dependencies.startCounts().countAdmissionWithheld();
+            }
+            return isAllowed;
         }
 
         @Override
@@ -206,6 +215,7 @@
         @Override
         public void recordsLoaded(int records, long revision) {
             recovery.completed(records, revision);
+            RecoveredQuotaLog.log(fencingToken, dependencies.settings().teams(), cluster, quotas);
             cycle.wakeIn(0);
         }
 
--- a/src/main/java/org/weldcourse/leader/LeaderTermMetrics.java
+++ b/src/main/java/org/weldcourse/leader/LeaderTermMetrics.java
@@ -20,7 +20,9 @@
      *
      * @param booked resources of the team's bookings
      * @param unbooked resources that count against the limit without a booking
+     * @param released resources of tasks without a booking that admission records still contain
      * @param limit the team's quota limit
      */
-    void reportTeam(String team, ResourceAmount booked, ResourceAmount unbooked, ResourceAmount limit);
+    void reportTeam(
+            String team, ResourceAmount booked, ResourceAmount unbooked, ResourceAmount released, ResourceAmount limit);
 }
--- a/src/main/java/org/weldcourse/workers/StartAuthorization.java
+++ b/src/main/java/org/weldcourse/workers/StartAuthorization.java
@@ -4,6 +4,7 @@
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.slf4j.event.Level;
 import org.weldcourse.cluster.Booking;
 import org.weldcourse.cluster.ClusterState;
 import org.weldcourse.cluster.Job;
@@ -18,11 +19,14 @@
     private static final Logger LOG = LoggerFactory.getLogger(StartAuthorization.class);
     /** The minimum time between two log lines about refusals for the same team. */
     private static final long REFUSAL_LOG_INTERVAL_MICROS = 30_000_000;
+    /** The first starts of a term are logged at info level: what goes wrong after a failover begins with them. */
+    private static final int FIRST_STARTS_LOGGED = 20;
 
     private final ClusterState cluster;
     private final TeamQuotas quotas;
     private final StartCounts counts;
     private final Map<String, Long> lastLoggedMicrosByTeam = new HashMap<>();
+    private int startsToLogAtInfo;
 
     /** The checks of a team's quota before a start. */
     public interface TeamQuotas {
@@ -125,17 +129,25 @@
         return shouldLog;
     }
 
-    /** Counts the start of a task and logs, at debug level, the record and the quota usage that allowed it. */
+    /** Logs the next few starts at info level. */
+    public void logFirstStarts() {
+        startsToLogAtInfo = FIRST_STARTS_LOGGED;
+    }
+
+    /** Counts the start of a task and logs the record and the quota usage that allowed it; after the first at debug. */
     public void recordStart(Booking booking) {
         counts.countStarted();
-        if (LOG.isDebugEnabled()) {
-            LOG.debug(
-                    "starting {} attempt {} on {}, admission record {}: {}",
-                    booking.taskId(),
-                    booking.attempt(),
-                    booking.machine().name,
-                    booking.recordKey(),
-                    describeUsage(booking.job().spec().team()));
+        Level level = startsToLogAtInfo > 0 ? Level.INFO : Level.DEBUG;
+        startsToLogAtInfo = Math.max(0, startsToLogAtInfo - 1);
+        if (LOG.isEnabledForLevel(level)) {
+            LOG.atLevel(level)
+                    .log(
+                            "starting {} attempt {} on {}, admission record {}: {}",
+                            booking.taskId(),
+                            booking.attempt(),
+                            booking.machine().name,
+                            booking.recordKey(),
+                            describeUsage(booking.job().spec().team()));
         }
     }
 
--- a/src/main/java/org/weldcourse/workers/StartCounts.java
+++ b/src/main/java/org/weldcourse/workers/StartCounts.java
@@ -5,6 +5,7 @@
     private long started;
     private long withheld;
     private long violations;
+    private long admissionsWithheld;
 
     void countStarted() {
         started++;
@@ -14,10 +15,20 @@
         withheld++;
     }
 
+    /** Counts an admission that was not written because the records would have exceeded a limit. */
+    public void countAdmissionWithheld() {
+        admissionsWithheld++;
+    }
+
     void countViolation() {
         violations++;
     }
 
+    /** The number of admissions that were not written because the records would have exceeded a limit. */
+    public long admissionsWithheld() {
+        return admissionsWithheld;
+    }
+
     /** The number of start commands sent. */
     public long started() {
         return started;
