Take released tasks of zone-bound jobs off the record before others of the job are admitted

What callers would see: wrong_place. A job whose tasks must share a zone runs in one zone, and after a change of leader tasks of it start in another one too.

A job with several admission records lost its tasks in one zone, and part of it was admitted in another. That admission rewrote one record; the others went on saying that the rest was admitted in the first zone, and the next leader, also of today's version, started it there.

Change: for jobs that must keep together or spread over zones, an admission rewrites in its own transaction each record that contains released tasks, as for teams with a limit. If one transaction can't hold them, they are taken off first. Finished tasks need no rewrite of their record, since every admission record lists all finished tasks.

Evidence: both tests of RecordedZonesTest failed before this change with wrong_place (the next leader is today's version, and a stand-in that starts what is recorded) and pass now. So do the tests of limits, random faults, services, lowered store limits, upgrades, stored records and the number of store requests.

--- a/src/main/java/org/weldcourse/admission/SnapshotBuilder.java
+++ b/src/main/java/org/weldcourse/admission/SnapshotBuilder.java
@@ -54,8 +54,7 @@
         List<JobView> jobs = new ArrayList<>();
         for (Job job : cluster.jobs.values()) {
             if (job.canBeBooked(nowMicros)) {
-                Map<String, Integer> zones =
-                        job.spec().singleZone() || job.spec().spreadAcrossZones() ? job.tasksByZone() : Map.of();
+                Map<String, Integer> zones = job.spec().hasZoneConstraint() ? job.tasksByZone() : Map.of();
                 boolean started = !job.bookings().isEmpty() || job.hasDoneTasks();
                 jobs.add(new JobView(
                         job.spec(),
@@ -77,7 +76,7 @@
     /** An admission rewrites one record that contains released tasks for certain; more may not fit its transaction. */
     private int tasksReleasedByAdmission(Job job) {
         boolean isRewritten = quotas.isLimited(job.spec().team())
-                && job.releasedTasks().keys().size() == 1;
+                && job.keysOfReleasedTasks(false).size() == 1;
         return isRewritten ? job.releasedTaskCount() : 0;
     }
 
--- a/src/main/java/org/weldcourse/cluster/Job.java
+++ b/src/main/java/org/weldcourse/cluster/Job.java
@@ -85,7 +85,7 @@
     public int releasedTaskCount() {
         int leaving = releasedTasks.leavingTasks();
         int replaced = leaving == 0 ? 0 : (int) Math.min(leaving, countUnpersistedBookings());
-        return Math.max(0, releasedTaskCountOutside(Set.of()) - replaced);
+        return Math.max(0, releasedTaskCountAfterWriteOf(Set.of(), false) - replaced);
     }
 
     private long countUnpersistedBookings() {
@@ -94,15 +94,30 @@
                 .count();
     }
 
-    /** The released tasks that remain on record after a write of the records with these keys. */
-    public int releasedTaskCountOutside(Set<String> keys) {
+    /**
+     * The released tasks that remain on record after a write of the records with these keys.
+     *
+     * @param savesFinished whether that write contains all finished tasks too
+     */
+    public int releasedTaskCountAfterWriteOf(Set<String> keys, boolean savesFinished) {
         if (releasedTasks.isEmpty()) {
             return 0;
         }
         BitSet tasks = releasedTasks.tasksOutside(keys);
-        tasks.andNot(persistedDone);
-        tasks.andNot(doneOnlyInAdmissions);
-        return (int) tasks.stream().filter(task -> !bookings.containsKey(task)).count();
+        tasks.andNot(finishedOrBooked(savesFinished));
+        return tasks.cardinality();
+    }
+
+    /** The keys of the records that a write has to contain so that no released task remains on record. */
+    public Set<String> keysOfReleasedTasks(boolean savesFinished) {
+        return releasedTasks.isEmpty() ? Set.of() : releasedTasks.keysOfTasksOtherThan(finishedOrBooked(savesFinished));
+    }
+
+    private BitSet finishedOrBooked(boolean savesFinished) {
+        BitSet tasks = (BitSet) (savesFinished ? done : persistedDone).clone();
+        tasks.or(doneOnlyInAdmissions);
+        bookings.values().forEach(booking -> tasks.set(booking.task()));
+        return tasks;
     }
 
     // Finished tasks
--- a/src/main/java/org/weldcourse/cluster/ReleasedTasks.java
+++ b/src/main/java/org/weldcourse/cluster/ReleasedTasks.java
@@ -2,6 +2,7 @@
 
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 
@@ -23,9 +24,17 @@
         return tasksByKey.isEmpty();
     }
 
-    /** The keys of the records that contain released tasks. */
-    public Set<String> keys() {
-        return Set.copyOf(tasksByKey.keySet());
+    /** The keys of the records that contain released tasks other than these. */
+    Set<String> keysOfTasksOtherThan(BitSet excluded) {
+        Set<String> keys = new HashSet<>();
+        tasksByKey.forEach((key, released) -> {
+            BitSet others = (BitSet) released.clone();
+            others.andNot(excluded);
+            if (!others.isEmpty()) {
+                keys.add(key);
+            }
+        });
+        return keys;
     }
 
     /** The released tasks in any record, except those with these keys. */
--- a/src/main/java/org/weldcourse/jobs/JobSpec.java
+++ b/src/main/java/org/weldcourse/jobs/JobSpec.java
@@ -87,6 +87,11 @@
         return kind == Kind.SERVICE;
     }
 
+    /** Whether the zones of some of the job's tasks restrict those of the others. */
+    public boolean hasZoneConstraint() {
+        return singleZone || spreadAcrossZones;
+    }
+
     /** The maximum number of tasks in one zone. */
     public int maxTasksPerZone() {
         return spreadAcrossZones ? (tasks + 1) / 2 : tasks;
--- a/src/main/java/org/weldcourse/persistence/AdmissionRecords.java
+++ b/src/main/java/org/weldcourse/persistence/AdmissionRecords.java
@@ -57,24 +57,34 @@
         if (writes.isEmpty()) {
             writes.putAll(splitIntoRecords(job, addAll(new AdmittedTasks(), attempt, booked), null));
         }
-        if (!listener.isQuotaLimited(job)) {
+        if (!mustTakeReleasedTasksOffRecord(job)) {
             write(job, txn, writes, callback);
             return;
         }
         addRecordsWithReleasedTasks(job, writes);
-        int takenOff = job.releasedTaskCount() - job.releasedTaskCountOutside(writes.keySet());
-        if (listener.allowsOnRecord(job, takenOff)) {
+        int left = job.releasedTaskCountAfterWriteOf(writes.keySet(), layout.isInAdmissions(job));
+        boolean keepsZones = left == 0 || !job.spec().hasZoneConstraint();
+        if (keepsZones && listener.allowsOnRecord(job, job.releasedTaskCount() - left)) {
             write(job, txn, writes, callback);
-        } else {
-            callback.completed(false);
+            return;
         }
+        callback.completed(false);
+        removeReleasedTasks(job, persisted -> listener.recordWritten(job));
+    }
+
+    /**
+     * Whether released tasks on record matter: a later leader that started them could exceed the team's limit, or start
+     * them in other zones than the job's present ones.
+     */
+    private boolean mustTakeReleasedTasksOffRecord(Job job) {
+        return job.spec().hasZoneConstraint() || listener.isQuotaLimited(job);
     }
 
     /** The job's records in the order in which an admission tries to extend them: those that it rewrites anyway first. */
     private List<String> keysToExtend(Job job) {
         List<String> keys = new ArrayList<>(job.records().keys());
-        if (listener.isQuotaLimited(job)) {
-            Set<String> released = job.releasedTasks().keys();
+        if (mustTakeReleasedTasksOffRecord(job)) {
+            Set<String> released = job.keysOfReleasedTasks(layout.isInAdmissions(job));
             keys.sort(Comparator.comparing(key -> !released.contains(key)));
         }
         return keys;
@@ -82,7 +92,7 @@
 
     /** Adds rewrites of the records that contain released tasks, as many as one transaction may hold. */
     private void addRecordsWithReleasedTasks(Job job, Map<String, AdmittedTasks> writes) {
-        for (String key : job.releasedTasks().keys()) {
+        for (String key : job.keysOfReleasedTasks(layout.isInAdmissions(job))) {
             AdmittedTasks current = currentContent(job, key);
             boolean fitsOneRecord = current.split(layout.admissionBytes(job)).size() <= 1;
             if (fitsOneRecord && writes.size() < safeTransactionOps) {
@@ -93,14 +103,23 @@
 
     /** Takes released tasks off the job's records with one transaction. */
     void removeReleasedTasks(Job job, RecordWriter.WriteCallback callback) {
+        if (job.releasedTaskCount() == 0) {
+            return;
+        }
+        Set<String> keys = job.keysOfReleasedTasks(layout.isInAdmissions(job));
+        if (keys.isEmpty()) {
+            // All of them have finished, and each record contains all finished tasks.
+            saveFinishedTasks(job, callback);
+            return;
+        }
         Map<String, AdmittedTasks> writes = new LinkedHashMap<>();
         addRecordsWithReleasedTasks(job, writes);
-        if (writes.isEmpty() && !job.releasedTasks().isEmpty()) {
+        if (writes.isEmpty()) {
             // A record that was written under larger limits has to be split.
-            String key = job.releasedTasks().keys().iterator().next();
+            String key = keys.iterator().next();
             writes.putAll(splitIntoRecords(job, currentContent(job, key), key));
         }
-        if (!writes.isEmpty() && writes.size() <= safeTransactionOps) {
+        if (writes.size() <= safeTransactionOps) {
             write(job, fenced.newTransaction(), writes, callback);
         }
     }
@@ -164,7 +183,8 @@
             Job job, Transaction txn, Map<String, AdmittedTasks> writes, RecordWriter.WriteCallback callback) {
         BitSet done = layout.isInAdmissions(job) ? job.doneTasks() : null;
         Map<String, BitSet> releasedBefore = job.releasedTasks().in(writes.keySet());
-        job.releasedTasks().setLeavingTasks(job.releasedTaskCount() - job.releasedTaskCountOutside(writes.keySet()));
+        int left = job.releasedTaskCountAfterWriteOf(writes.keySet(), done != null);
+        job.releasedTasks().setLeavingTasks(job.releasedTaskCount() - left);
         int writeNumber = job.records().nextWriteNumber();
         Map<String, Map<String, Object>> records = new LinkedHashMap<>();
         writes.forEach((key, part) ->
