Patch for production: no start from the records while a team is above its limit

What callers saw: a team held 276 CPUs of 275 two seconds after a change of leader.

Cause: a task that was preempted before it started, or that is over, stays on record until its job is admitted anew. A new leader books all that is on record, and starts each task that its machine does not list, also while what is booked is above the team's limit.

Change: a booking on record that a newer report does not list is given up, and its task waits again, while its team's bookings are above the limit of the settings. The report is newer than any answer that told the machine to run the task, as for the two cases that were given up so far.

--- a/src/main/java/org/weldcourse/admission/Drill.java
+++ b/src/main/java/org/weldcourse/admission/Drill.java
@@ -138,7 +138,7 @@
         sequence = 0;
         board = new Board();
         outlook = new Outlook(board, settings);
-        reconciler = new Reconciler(board, TOKEN, settings.workers().leaseMicros());
+        reconciler = new Reconciler(board, TOKEN, settings.workers().leaseMicros(), settings.teams());
         recorder = new Recorder(nowhere, clock, timers, settings.state(), 1, new Recorder.Events() {
             @Override
             public void recorded(Job job) {
--- a/src/main/java/org/weldcourse/admission/Term.java
+++ b/src/main/java/org/weldcourse/admission/Term.java
@@ -80,7 +80,11 @@
         this.token = token;
         this.startedMicros = parts.clock().nowMicros();
         this.outlook = new Outlook(board, parts.settings());
-        this.reconciler = new Reconciler(board, token, parts.settings().workers().leaseMicros());
+        this.reconciler = new Reconciler(
+                board,
+                token,
+                parts.settings().workers().leaseMicros(),
+                parts.settings().teams());
         this.mostTasksPerAdmission = Recorder.mostTasksPerAdmission(parts.settings().state());
         this.recorder = new Recorder(parts.store(), parts.clock(), parts.timers(), parts.settings().state(),
                 epochVersion, new Recorder.Events() {
--- a/src/main/java/org/weldcourse/workers/Reconciler.java
+++ b/src/main/java/org/weldcourse/workers/Reconciler.java
@@ -1,8 +1,10 @@
 package org.weldcourse.workers;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -12,6 +14,7 @@
 import org.weldcourse.admission.Machine;
 import org.weldcourse.fleet.MachineType;
 import org.weldcourse.jobs.JobSpec;
+import org.weldcourse.settings.Settings;
 
 /**
  * Lays a worker's report beside the bookings: learns what happened, and says what the worker is to do. Only a
@@ -27,11 +30,14 @@
     private final Board board;
     private final long token;
     private final long leaseMicros;
+    private final Map<String, Settings.Team> teams = new HashMap<>();
 
-    public Reconciler(Board board, long token, long leaseMicros) {
+    /** {@code teams} are those of the settings, with their limits. */
+    public Reconciler(Board board, long token, long leaseMicros, List<Settings.Team> teams) {
         this.board = board;
         this.token = token;
         this.leaseMicros = leaseMicros;
+        teams.forEach(team -> this.teams.put(team.name(), team));
     }
 
     /** {@code changed}: something was learnt that the next admission cycle may use. */
@@ -137,7 +143,10 @@
             // Seen before and not now, with no exit: a new session swept it away. Never seen: it was never run,
             // or the answer that said so was lost, and it may be run again or, when unwanted or when the machine
             // hears nothing, given up: this report is newer than any answer that told it to run.
-            if (booking.seen || booking.persisted && (booking.stop || machine.isDeaf())) {
+            // A team above its limit has tasks on record that were preempted or are over, beside those that took
+            // their quota.
+            boolean unwanted = booking.stop || machine.isDeaf() || isAboveLimit(booking.job.spec.team());
+            if (booking.seen || booking.persisted && unwanted) {
                 board.free(booking, nowMicros);
                 changed = true;
             }
@@ -145,6 +154,13 @@
         return changed;
     }
 
+    private boolean isAboveLimit(String name) {
+        Settings.Team team = teams.get(name);
+        return team != null
+                && (board.usedCpus(name) > team.cpusMax() + MachineType.EPSILON
+                        || board.usedGpus(name) > team.gpusMax() + MachineType.EPSILON);
+    }
+
     private static boolean progress(Booking booking, Report.State state, long nowMicros) {
         boolean wasRunning = booking.running();
         booking.seen = true;
