Decide no new cycle at once after an admission that was not written

Cause: an admission that the records would not allow was released and decided again 10 ms later, with the same answer, for as long as nothing changed: with limits on record, when a reservation of a limit since lowered no longer fits. The processor of a small controller would be spent on that.

Change: only a written admission wakes the cycle; a refused one does when the job, the quota or the records were read or written again, and a cycle runs once a second anyway. PlannerTest shows that quota still on record causes no second preemption and stays with the first job (it fails when victims are chosen by the usage on record).

--- a/src/main/java/org/weldcourse/leader/AdmissionCycle.java
+++ b/src/main/java/org/weldcourse/leader/AdmissionCycle.java
@@ -174,10 +174,11 @@
                     booking.markPersisted();
                     booking.machine().hasUnsentCommands = true;
                 });
+                wakeForEvent();
             } else {
+                // No cycle at once: it would decide the same before the job or the quota is read again.
                 booked.forEach(booking -> cluster.release(booking, ReleaseReason.ADMISSION_REFUSED, clock.nowMicros()));
             }
-            wakeForEvent();
         });
     }
 
--- a/src/test/java/org/weldcourse/admission/PlannerTest.java
+++ b/src/test/java/org/weldcourse/admission/PlannerTest.java
@@ -19,6 +19,7 @@
 import org.weldcourse.http.Json;
 import org.weldcourse.jobs.JobSpec;
 import org.weldcourse.jobs.JobSpecCodec;
+import org.weldcourse.quota.ResourceAmount;
 import org.weldcourse.settings.Settings;
 import org.weldcourse.simulation.JobBodies;
 
@@ -154,6 +155,22 @@
                 decide(AMPLE_LIMITS, machines, gang(1, 1, 1), gang(2, 1, 2)).reservedMachines());
     }
 
+    @Test
+    void quotaThatIsStillOnRecordCausesNoSecondPreemptionAndGoesToTheFirstJob() throws Exception {
+        JobSpec preempted = spec("req-000009", "rank", "idle", "beads", 2, "cpus", 14.0);
+        JobView waiting =
+                new JobView(preempted, pending(1), NOW, true, new long[0], NOW, SECOND, Map.of(), Set.of(), 0, 1);
+        TaskView running = new TaskView(preempted, 1, false, NOW - SECOND, 60 * SECOND);
+        List<MachineView> machines = List.of(machine("m-1"), machine("m-2", running));
+        List<TeamView> teams = List.of(TeamView.of(
+                new Settings.Team("core", 0, 28, 0, 0), ResourceAmount.of(28, 0), ResourceAmount.of(14, 0)));
+        CycleDecisions decisions =
+                Planner.decide(new Snapshot(NOW, machines, List.of(waiting, gang(1, 1, 1)), teams), AMPLE_LIMITS);
+        assertEquals(List.of(), decisions.preemptions());
+        assertEquals(List.of(), admitted(decisions));
+        assertEquals(2, decisions.pending().size());
+    }
+
     @Test
     void replacementReplicaAvoidsAMachineThatRunsAThirdOfItsService() throws Exception {
         JobSpec service =
