--- a/review/lib/Cloud.java
+++ b/review/lib/Cloud.java
@@ -123,7 +123,7 @@
             machine.up = machine.rented + boot;
             machines.put(machine.name, machine);
             names.add(machine.name);
-            record.line("cloud: %s rented, %s in %s, up in %.1f s", machine.name, type.name, zone, boot);
+            record.line("cloud: %s rented by %s, %s in %s, up in %.1f s", machine.name, hire, type.name, zone, boot);
             Http.run(() -> boot(machine));
         }
         hires.put(hire, names);
--- a/review/lib/Job.java
+++ b/review/lib/Job.java
@@ -22,7 +22,6 @@
     boolean loaners;
     double expectedS;
     double runS = 1e9;
-    boolean spread;
 
     Map<String, Object> body() {
         return Json.of(
--- a/review/lib/Store.java
+++ b/review/lib/Store.java
@@ -36,6 +36,9 @@
     private double requestTokens;
     private double writeTokens;
     private long refilled = System.nanoTime();
+    /** Hears of each change of a key, in order, before the answer to the commit is sent. */
+    java.util.function.BiConsumer<String, Object> listener = (key, value) -> {};
+
     final Map<String, Integer> ports = new LinkedHashMap<>();
 
     Store(List<String> nodes, double rps, double writeRps, int valueKb, int txnOps) throws Exception {
@@ -120,6 +123,7 @@
     }
 
     private void changed(Change change) {
+        listener.accept(change.key, change.value);
         changes.add(change);
         if (changes.size() > KEPT_CHANGES) {
             changes.remove(0);
--- a/review/lib/Worker.java
+++ b/review/lib/Worker.java
@@ -109,7 +109,8 @@
                     if (task.heat.equals("fetching") && now >= images.get(task.job.image)) {
                         task.heat = "running";
                         task.onMachineAt = now;
-                        task.endsAt = now + task.job.runS * (task.job.spread ? 0.2 + 1.6 * random.nextDouble() : 1);
+                        // The result of a completed task is kept: it exits as soon as it has its image.
+                        task.endsAt = world.completed.contains(task.bead) ? now : now + task.job.runS;
                         changed = true;
                         started.add(task);
                     }
@@ -117,6 +118,7 @@
                         task.heat = "exited";
                         task.cause = "done";
                         changed = true;
+                        world.completed.add(task.bead);
                         world.onEnd(this, task, "done");
                     }
                 }
@@ -165,6 +167,7 @@
                     return;
                 }
                 if (answer.status() == 200) {
+                    world.onAnswer(this, target, answer.body(), sent);
                     accept(answer.body(), sent, sentSession);
                     double next = sent + world.reportS * (0.75 + 0.5 * random.nextDouble());
                     synchronized (this) {
--- a/review/lib/World.java
+++ b/review/lib/World.java
@@ -18,12 +18,18 @@
     final Map<String, String> apiByNode = new LinkedHashMap<>();
     private final Map<String, String> backByNode = new LinkedHashMap<>();
     private final Map<String, String> zoneByNode = new LinkedHashMap<>();
+    /** The links between controllers, by "from to". */
+    final Map<String, PeerLink> peerLinks = new LinkedHashMap<>();
     private final Map<String, Process> processes = new ConcurrentHashMap<>();
     final Map<String, Job> jobs = new ConcurrentHashMap<>();
     final Map<String, Worker> workers = new ConcurrentHashMap<>();
+    /** Tasks that have completed on some machine. */
+    final java.util.Set<String> completed = ConcurrentHashMap.newKeySet();
     final Store store;
     final Cloud cloud;
     final List<String> teams;
+    /** The limits of teams that have one, in CPUs. */
+    final Map<String, Double> cpusMax = new LinkedHashMap<>();
     final double reportS;
     final double leaseS;
     final double cancelS;
@@ -48,6 +54,17 @@
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
 
+    /** Leads the connections between controllers through links that can be refused; before the start. */
+    void linkPeers() throws IOException {
+        for (String from : apiByNode.keySet()) {
+            for (String to : apiByNode.keySet()) {
+                if (!from.equals(to)) {
+                    peerLinks.put(from + " " + to, new PeerLink(backByNode.get(to)));
+                }
+            }
+        }
+    }
+
     private static final java.util.Set<Integer> USED = new java.util.HashSet<>();
 
     private static int freePort() throws IOException {
@@ -84,6 +101,9 @@
 
     // Events, for the checks of a case
 
+    /** A node answered a report with 200; {@code sent} is when the report was sent. */
+    void onAnswer(Worker worker, String node, Map<String, Object> answer, double sent) {}
+
     void onRun(Worker worker, Worker.Task task, double sent) {
         record.line("%s: run %s strike %d (answer to the report sent at %.3f)", worker.machine.name, task.bead, task.strike, sent);
     }
@@ -154,7 +174,7 @@
         for (String other : apiByNode.keySet()) {
             if (!other.equals(node)) {
                 text.append("[[known]]\nhost_name = \"" + other + "\"\nsite = \"" + zoneByNode.get(other)
-                        + "\"\naddress = \"" + backByNode.get(other) + "\"\n");
+                        + "\"\naddress = \"" + peerAddress(node, other) + "\"\n");
             }
         }
         text.append("[endpoints]\ncloud = \"" + Http.HOST + ":" + cloud.port + "\"\nstate = \"" + Http.HOST + ":"
@@ -165,8 +185,8 @@
                 zoneByNode.values().stream().distinct().sorted().map(zone -> '"' + zone + '"').toList()));
         text.append("]\nclock_off_ms = 1000.0\n");
         for (String team : teams) {
-            text.append("[[deployment.teams]]\nname = \"" + team
-                    + "\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = 0.0\ngpus_max = 0.0\n");
+            text.append("[[deployment.teams]]\nname = \"" + team + "\"\ncpus = 0.0\ncpus_max = "
+                    + cpusMax.getOrDefault(team, 0.0) + "\ngpus = 0.0\ngpus_max = 0.0\n");
         }
         text.append("[deployment.workers]\nreport_s = " + reportS + "\nlease_s = " + leaseS
                 + "\ngang_wait_s = 40.0\ngang_peer_s = 4.0\ncancel_s = " + cancelS + "\n");
@@ -176,6 +196,11 @@
         return Files.writeString(folder.resolve(node + ".toml"), text);
     }
 
+    private String peerAddress(String from, String to) {
+        PeerLink link = peerLinks.get(from + " " + to);
+        return link == null ? backByNode.get(to) : Http.HOST + ":" + link.port;
+    }
+
     /** Waits until there is a leader and some node takes requests. */
     boolean awaitReady(double seconds) throws InterruptedException {
         double until = Record.now() + seconds;
