--- a/review/lib/World.java
+++ b/review/lib/World.java
@@ -66,13 +66,18 @@
     }
 
     private static final java.util.Set<Integer> USED = new java.util.HashSet<>();
+    private static final java.util.Random PORTS = new java.util.Random();
 
-    private static int freePort() throws IOException {
+    /** A port that is free now, below those that the system gives to outgoing connections. */
+    private static int freePort() {
         while (true) {
-            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName(Http.HOST))) {
-                if (USED.add(socket.getLocalPort())) {
-                    return socket.getLocalPort();
+            int port = 18_000 + PORTS.nextInt(14_000);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName(Http.HOST))) {
+                if (USED.add(port)) {
+                    return port;
                 }
+            } catch (IOException taken) {
+                // The next one may be free.
             }
         }
     }
