--- a/review/3/Case3.java
+++ b/review/3/Case3.java
@@ -1,121 +1,170 @@
 package review;
 
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * A guest team's sweep of many small tasks: the scheduler puts so many of them on one machine that the worker's report
- * is larger than a request may be. Accepted jobs must run, also those beside the sweep.
+ * The leading controller loses only the state service while users submit jobs and cancel them through another
+ * controller. After a user was told that a job is cancelled, no task of it may be started.
  */
 public final class Case3 {
-    private static final double END_S = 105;
-    private static final double JOB_RUN_S = 40;
+    private static final int ROUNDS = 4;
+    private static final int JOBS = 18;
+    private static final double CUT_S = 11;
+    /** A command is judged only if it answers a report that was sent this long after the confirmation. */
+    private static final double MARGIN_S = 0.1;
+
+    private static final Map<String, Double> CONFIRMED = new ConcurrentHashMap<>();
+    private static final ConcurrentLinkedQueue<String> BROKEN = new ConcurrentLinkedQueue<>();
+    private static int nextId = 200;
 
     private Case3() {}
 
     public static void main(String[] arguments) throws Exception {
         boolean trouble = !"0".equals(System.getenv("TROUBLE"));
         List<String> zones = List.of("suva-east", "nadi-west", "labasa-north");
-        List<Cloud.Type> types = List.of(new Cloud.Type("kava-large", 32, 128, 0.8, 1.62, 20, zones));
-        AtomicInteger refused = new AtomicInteger();
-        AtomicInteger largest = new AtomicInteger();
-        World world =
-                new World(
-                        Path.of(arguments[0]),
-                        types,
-                        zones,
-                        List.of("front-of-house", "branch-ops", "guest-comms", "islands-tourism-desk"),
-                        1,
-                        10,
-                        35) {
-                    @Override
-                    void onRun(Worker worker, Worker.Task task, double sent) {
-                        if (!task.job.id.startsWith("req-0009")) {
-                            super.onRun(worker, task, sent);
-                        }
-                    }
-
-                    @Override
-                    void onStart(Worker worker, Worker.Task task) {
-                        if (!task.job.id.startsWith("req-0009")) {
-                            super.onStart(worker, task);
-                        }
-                    }
+        List<Cloud.Type> types = List.of(new Cloud.Type("kava-small", 4, 32, 0.25, 0.26, 40, zones));
+        World world = new World(
+                Path.of(arguments[0]), types, zones, List.of("front-of-house", "branch-ops", "guest-comms"), 1, 10, 35) {
+            private final Map<String, Double> reportOfRun = new ConcurrentHashMap<>();
 
-                    @Override
-                    void onEnd(Worker worker, Worker.Task task, String why) {
-                        if (!task.job.id.startsWith("req-0009")) {
-                            super.onEnd(worker, task, why);
-                        }
-                    }
+            @Override
+            void onRun(Worker worker, Worker.Task task, double sent) {
+                super.onRun(worker, task, sent);
+                reportOfRun.put(task.bead + "#" + task.strike, sent);
+            }
 
-                    @Override
-                    void onReportFailed(Worker worker, String node, Http.Answer answer, int bytes) {
-                        super.onReportFailed(worker, node, answer, bytes);
-                        largest.accumulateAndGet(bytes, Math::max);
-                        refused.addAndGet(answer.status() == 400 || answer.status() == 0 ? 1 : 0);
-                    }
-                };
-        world.cloud.bootSeconds = machine -> 5;
-        world.cloud.capacityPerZone = 1;
+            @Override
+            void onStart(Worker worker, Worker.Task task) {
+                super.onStart(worker, task);
+                Double confirmed = CONFIRMED.get(task.job.id);
+                double sent = reportOfRun.getOrDefault(task.bead + "#" + task.strike, 0.0);
+                if (confirmed != null && sent > confirmed + MARGIN_S) {
+                    String what = String.format(
+                            "%s starts on %s at %.3f; its user was told at %.3f that it is cancelled, and the run"
+                                    + " command answers a report that the worker sent at %.3f",
+                            task.bead, worker.machine.name, Record.now(), confirmed, sent);
+                    record.line("BROKEN started after its cancellation was confirmed: %s", what);
+                    BROKEN.add(what);
+                }
+            }
+        };
+        world.cloud.bootSeconds = machine -> 3;
         world.startAll();
         if (!world.awaitReady(25)) {
             end(world, "could not run: no leader", 2);
         }
-        Job job = job("req-000100", "branch-ops", "reminder-array", 4, 2, 7.3, JOB_RUN_S);
-        job.rank = "normal";
-        if (!world.submit(job)) {
-            end(world, "could not run: a job was not accepted", 2);
+        // Two services keep some machines up: one replica on each.
+        List<Job> services = new ArrayList<>();
+        for (int i = 0; i < 2; i++) {
+            services.add(service("req-00010" + i));
+            if (!world.submit(services.get(i))) {
+                end(world, "could not run: a service was not accepted", 2);
+            }
         }
-        double until = Record.now() + 25;
-        while (Record.now() < until && world.presentByZone(job.id).isEmpty()) {
+        double until = Record.now() + 30;
+        while (Record.now() < until && services.stream().anyMatch(service -> present(world, service.id) < service.beads)) {
             Thread.sleep(100);
         }
-        if (world.presentByZone(job.id).isEmpty()) {
-            end(world, "could not run: the first job does not start", 2);
+        if (services.stream().anyMatch(service -> present(world, service.id) < service.beads)) {
+            end(world, "could not run: a service does not run", 2);
+        }
+        int confirmed = 0;
+        for (int round = 0; round < ROUNDS && BROKEN.isEmpty(); round++) {
+            confirmed += round(world, trouble);
+        }
+        world.record.line("%d cancellations were confirmed, %d starts came after", confirmed, BROKEN.size());
+        if (!BROKEN.isEmpty()) {
+            end(world, "a cancelled job is started: " + BROKEN.peek(), 1);
+        }
+        end(world, confirmed > 0 ? "held" : "could not run: no cancellation was confirmed", confirmed > 0 ? 0 : 2);
+    }
+
+    /** Submits a burst of one-task jobs, cuts the leader from the state service, and cancels the jobs. */
+    private static int round(World world, boolean trouble) throws Exception {
+        String leader = world.leader();
+        List<String> others = new ArrayList<>(world.ready());
+        others.remove(leader);
+        if (leader == null || others.isEmpty()) {
+            end(world, "could not run: no leader, or no other node takes requests", 2);
+        }
+        String node = others.get(0);
+        List<String> ids = new ArrayList<>();
+        CountDownLatch accepted = new CountDownLatch(JOBS);
+        AtomicInteger count = new AtomicInteger();
+        for (int i = 0; i < JOBS; i++) {
+            Job job = job(String.format("req-%06d", nextId++), 1, 0.5);
+            job.expectedS = 60;
+            world.jobs.put(job.id, job);
+            ids.add(job.id);
+            Http.run(() -> {
+                Http.Answer answer =
+                        Http.send(world.apiByNode.get(node), "POST", "/v1/jobs", Json.text(job.body()), 5);
+                world.record.line("user: submit %s to %s: %d", job.id, node, answer.status());
+                count.addAndGet(answer.status() == 201 ? 1 : 0);
+                accepted.countDown();
+            });
         }
-        if (trouble && !world.submit(job("req-000900", "islands-tourism-desk", "season-rate-sweep", 6000, 0.02, 0.05, 25))) {
-            end(world, "could not run: the sweep was not accepted", 2);
+        accepted.await();
+        // Time for the leader to put the admissions on record.
+        Thread.sleep(150);
+        if (trouble) {
+            world.store.cut(leader, true);
+            world.record.line("%s leads and loses the state service; %d jobs are accepted", leader, count.get());
         }
-        String heat = "queued";
-        while (Record.now() < END_S && !"done".equals(heat)) {
-            Thread.sleep(4000);
-            heat = Json.string(world.poll(job.id).body(), "heat");
+        CountDownLatch cancelled = new CountDownLatch(JOBS);
+        for (String id : ids) {
+            Http.run(() -> {
+                Http.Answer answer =
+                        Http.send(world.apiByNode.get(node), "POST", "/v1/jobs/" + id + "/withdraw", "{}", 5);
+                if (answer.status() == 200 && "cancelled".equals(answer.body().get("heat"))) {
+                    CONFIRMED.put(id, Record.now());
+                }
+                world.record.line("user: withdraw %s at %s: %d %s", id, node, answer.status(), Json.text(answer.body()));
+                cancelled.countDown();
+            });
         }
-        int expiries = world.workers.values().stream().mapToInt(worker -> worker.expiries).sum();
-        long swept = world.completed.stream().filter(bead -> bead.startsWith("req-000900/")).count();
-        world.record.line(
-                "%d reports were refused or cut off, the largest of %d bytes; %d leases of running workers expired; %s is"
-                        + " %s; %d tasks of the sweep have completed",
-                refused.get(), largest.get(), expiries, job.id, heat, swept);
-        if ("done".equals(heat)) {
-            end(world, "held", 0);
+        cancelled.await();
+        Thread.sleep((long) (CUT_S * 1000));
+        if (trouble) {
+            world.store.cut(leader, false);
+            world.record.line("%s reaches the state service again", leader);
         }
-        end(
-                world,
-                String.format(
-                        "%s, 4 tasks of %.0f s, is not done after %.0f s: %d leases of workers that report all the time"
-                                + " have expired, and %d of 6000 tasks of the sweep have completed",
-                        job.id, JOB_RUN_S, END_S, expiries, swept),
-                1);
+        Thread.sleep(6000);
+        return (int) ids.stream().filter(CONFIRMED::containsKey).count();
+    }
+
+    private static Job service(String id) {
+        Job service = job(id, 6, 2.2);
+        service.shape = "service";
+        service.course = "booking-live";
+        service.crew = "front-of-house";
+        service.rank = "prod";
+        return service;
     }
 
-    private static Job job(String id, String crew, String course, int beads, double cpus, double memGb, double runS) {
+    private static Job job(String id, int beads, double cpus) {
         Job job = new Job();
         job.id = id;
-        job.course = course;
-        job.crew = crew;
+        job.course = "voucher-pings";
+        job.crew = "guest-comms";
         job.beads = beads;
         job.cpus = cpus;
-        job.memGb = memGb;
-        job.image = "img-" + course;
-        job.imageGb = 0.4;
-        job.expectedS = runS;
-        job.runS = runS;
+        job.memGb = 1;
+        job.imageGb = 0.1;
         return job;
     }
 
+    private static int present(World world, String id) {
+        return world.presentByZone(id).values().stream().mapToInt(Integer::intValue).sum();
+    }
+
     private static void end(World world, String result, int code) {
         world.record.line("RESULT %s", result);
         System.out.println(result);
--- a/review/lib/Store.java
+++ b/review/lib/Store.java
@@ -36,9 +36,6 @@
     private double requestTokens;
     private double writeTokens;
     private long refilled = System.nanoTime();
-    /** Hears of each change of a key, in order, before the answer to the commit is sent. */
-    java.util.function.BiConsumer<String, Object> listener = (key, value) -> {};
-
     final Map<String, Integer> ports = new LinkedHashMap<>();
 
     Store(List<String> nodes, double rps, double writeRps, int valueKb, int txnOps) throws Exception {
@@ -69,30 +66,6 @@
         return entry == null ? null : entry.value;
     }
 
-    synchronized List<String> keys(String prefix) {
-        List<String> keys = new ArrayList<>();
-        for (String key : entries.tailMap(prefix).keySet()) {
-            if (!key.startsWith(prefix)) {
-                break;
-            }
-            keys.add(key);
-        }
-        return keys;
-    }
-
-    /** The kept changes below a prefix: how many, and their size. */
-    synchronized String size(String prefix) {
-        int count = 0;
-        long bytes = 0;
-        for (Change change : changes) {
-            if (change.key.startsWith(prefix)) {
-                count++;
-                bytes += change.value == null ? 0 : Json.text(change.value).length();
-            }
-        }
-        return count + " of " + changes.size() + " changes, " + bytes + " bytes";
-    }
-
     private synchronized void expire() {
         while (true) {
             long now = System.nanoTime();
@@ -123,7 +96,6 @@
     }
 
     private void changed(Change change) {
-        listener.accept(change.key, change.value);
         changes.add(change);
         if (changes.size() > KEPT_CHANGES) {
             changes.remove(0);
--- a/review/lib/Worker.java
+++ b/review/lib/Worker.java
@@ -167,7 +167,6 @@
                     return;
                 }
                 if (answer.status() == 200) {
-                    world.onAnswer(this, target, answer.body(), sent);
                     accept(answer.body(), sent, sentSession);
                     double next = sent + world.reportS * (0.75 + 0.5 * random.nextDouble());
                     synchronized (this) {
--- a/review/lib/World.java
+++ b/review/lib/World.java
@@ -18,8 +18,6 @@
     final Map<String, String> apiByNode = new LinkedHashMap<>();
     private final Map<String, String> backByNode = new LinkedHashMap<>();
     private final Map<String, String> zoneByNode = new LinkedHashMap<>();
-    /** The links between controllers, by "from to". */
-    final Map<String, PeerLink> peerLinks = new LinkedHashMap<>();
     private final Map<String, Process> processes = new ConcurrentHashMap<>();
     final Map<String, Job> jobs = new ConcurrentHashMap<>();
     final Map<String, Worker> workers = new ConcurrentHashMap<>();
@@ -28,15 +26,32 @@
     final Store store;
     final Cloud cloud;
     final List<String> teams;
-    /** The limits of teams that have one, in CPUs. */
-    final Map<String, Double> cpusMax = new LinkedHashMap<>();
     final double reportS;
     final double leaseS;
     final double cancelS;
     private boolean closed;
 
+    /** The limits of the state service, as in the settings. */
+    record StateLimits(double rps, double writeRps, int valueKb, int txnOps) {}
+
+    private final StateLimits limits;
+
     World(Path caseFolder, List<Cloud.Type> types, List<String> controllerZones, List<String> teams, double reportS, double leaseS, double cancelS)
             throws Exception {
+        this(caseFolder, types, controllerZones, teams, reportS, leaseS, cancelS, new StateLimits(250, 50, 32, 16));
+    }
+
+    World(
+            Path caseFolder,
+            List<Cloud.Type> types,
+            List<String> controllerZones,
+            List<String> teams,
+            double reportS,
+            double leaseS,
+            double cancelS,
+            StateLimits limits)
+            throws Exception {
+        this.limits = limits;
         this.record = new Record(caseFolder.resolve("record.txt"));
         this.folder = Files.createTempDirectory("weldcourse-review-");
         this.teams = teams;
@@ -49,22 +64,12 @@
             backByNode.put(node, Http.HOST + ":" + freePort());
             zoneByNode.put(node, controllerZones.get(i));
         }
-        store = new Store(new ArrayList<>(apiByNode.keySet()), 250, 50, 32, 16);
+        store = new Store(
+                new ArrayList<>(apiByNode.keySet()), limits.rps, limits.writeRps, limits.valueKb, limits.txnOps);
         cloud = new Cloud(types, 3, record, this::boot);
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
 
-    /** Leads the connections between controllers through links that can be refused; before the start. */
-    void linkPeers() throws IOException {
-        for (String from : apiByNode.keySet()) {
-            for (String to : apiByNode.keySet()) {
-                if (!from.equals(to)) {
-                    peerLinks.put(from + " " + to, new PeerLink(backByNode.get(to)));
-                }
-            }
-        }
-    }
-
     private static final java.util.Set<Integer> USED = new java.util.HashSet<>();
     private static final java.util.Random PORTS = new java.util.Random();
 
@@ -106,9 +111,6 @@
 
     // Events, for the checks of a case
 
-    /** A node answered a report with 200; {@code sent} is when the report was sent. */
-    void onAnswer(Worker worker, String node, Map<String, Object> answer, double sent) {}
-
     void onRun(Worker worker, Worker.Task task, double sent) {
         record.line("%s: run %s strike %d (answer to the report sent at %.3f)", worker.machine.name, task.bead, task.strike, sent);
     }
@@ -160,14 +162,6 @@
         record.line("%s killed", node);
     }
 
-    long pid(String node) {
-        return processes.get(node).pid();
-    }
-
-    boolean isAlive(String node) {
-        return processes.containsKey(node) && processes.get(node).isAlive();
-    }
-
     String leader() {
         return Json.string(Json.map(store.value("leader")), "name");
     }
@@ -179,7 +173,7 @@
         for (String other : apiByNode.keySet()) {
             if (!other.equals(node)) {
                 text.append("[[known]]\nhost_name = \"" + other + "\"\nsite = \"" + zoneByNode.get(other)
-                        + "\"\naddress = \"" + peerAddress(node, other) + "\"\n");
+                        + "\"\naddress = \"" + backByNode.get(other) + "\"\n");
             }
         }
         text.append("[endpoints]\ncloud = \"" + Http.HOST + ":" + cloud.port + "\"\nstate = \"" + Http.HOST + ":"
@@ -190,22 +184,18 @@
                 zoneByNode.values().stream().distinct().sorted().map(zone -> '"' + zone + '"').toList()));
         text.append("]\nclock_off_ms = 1000.0\n");
         for (String team : teams) {
-            text.append("[[deployment.teams]]\nname = \"" + team + "\"\ncpus = 0.0\ncpus_max = "
-                    + cpusMax.getOrDefault(team, 0.0) + "\ngpus = 0.0\ngpus_max = 0.0\n");
+            text.append("[[deployment.teams]]\nname = \"" + team + "\"\ncpus = 0.0\ncpus_max = 0.0"
+                    + "\ngpus = 0.0\ngpus_max = 0.0\n");
         }
         text.append("[deployment.workers]\nreport_s = " + reportS + "\nlease_s = " + leaseS
                 + "\ngang_wait_s = 40.0\ngang_peer_s = 4.0\ncancel_s = " + cancelS + "\n");
-        text.append("[deployment.state]\nrps = 250.0\nwrite_rps = 50.0\nvalue_kb = 32.0\ntxn_ops = 16\n");
+        text.append("[deployment.state]\nrps = " + limits.rps + "\nwrite_rps = " + limits.writeRps + "\nvalue_kb = "
+                + limits.valueKb + ".0\ntxn_ops = " + limits.txnOps + "\n");
         text.append("[deployment.cloud]\nrps = 3.0\nlist_lag_s = 8.0\n");
         text.append("[deployment.quota]\ncores = 0.136\nmemory_mb = 148.0\nmax_sockets = 500\n");
         return Files.writeString(folder.resolve(node + ".toml"), text);
     }
 
-    private String peerAddress(String from, String to) {
-        PeerLink link = peerLinks.get(from + " " + to);
-        return link == null ? backByNode.get(to) : Http.HOST + ":" + link.port;
-    }
-
     /** Waits until there is a leader and some node takes requests. */
     boolean awaitReady(double seconds) throws InterruptedException {
         double until = Record.now() + seconds;
