Count a task that is booked again as on record until the write is applied

What callers saw: nothing yet.

Cause: while a write of a job's record is in flight, the released tasks that it takes off the record and the tasks that it admits instead were set off against each other. A task that is booked again while the record still contains it is on record before and after the write, and doesn't stand for another one that leaves. The quota that the difference seemed to free was given to another job in the same cycle, and whose write is applied first is open. It rests on a write that nothing has confirmed.

Why this works: only tasks that no record contains yet are set off, so that the count is the larger one of before and after the write.

--- a/src/main/java/org/weldcourse/cluster/Job.java
+++ b/src/main/java/org/weldcourse/cluster/Job.java
@@ -84,13 +84,15 @@
      */
     public int releasedTaskCount() {
         int leaving = releasedTasks.leavingTasks();
-        int replaced = leaving == 0 ? 0 : (int) Math.min(leaving, countUnpersistedBookings());
+        int replaced = leaving == 0 ? 0 : (int) Math.min(leaving, countBookingsNotOnRecord());
         return Math.max(0, releasedTaskCountAfterWriteOf(Set.of(), false) - replaced);
     }
 
-    private long countUnpersistedBookings() {
+    /** A task that is booked again while a record still contains it is on record before and after the write. */
+    private long countBookingsNotOnRecord() {
+        BitSet onRecord = releasedTasks.tasksOutside(Set.of());
         return bookings.values().stream()
-                .filter(booking -> !booking.isPersisted())
+                .filter(booking -> !booking.isPersisted() && !onRecord.get(booking.task()))
                 .count();
     }
 
