Start tasks only after a read of the open jobs that is newer than the heartbeat

Cause: any controller confirms a cancellation by a commit of its own, while the leader took the right to start from a read of the open jobs that was sent less than three seconds before, as long as no request had failed and its lease was valid. Losing the state service shows only when a request times out, after 1.5 s. Nothing ties the confirmation to the age of that read.

In the simulated cluster each answer that starts a task is now checked against the confirmed cancellations.

Why this works: an answer that starts tasks is held back until the open jobs were read by a request that was sent after the heartbeat had arrived (ReadBarrier). A cancellation that was confirmed before the worker sent its heartbeat was committed before that read, so the read shows it, whoever confirmed it and however long the leader has been cut off. It rules out this order: confirmation, then heartbeat, then start. No clock or lease is part of the argument. What changes while an answer is held (a deposed leader, a newer heartbeat of the worker, a lowered limit) is looked at again before it is sent.

While the state service is known to fail, answers are not held, as no read can succeed.

--- a/src/main/java/org/weldcourse/app/ControllerMetrics.java
+++ b/src/main/java/org/weldcourse/app/ControllerMetrics.java
@@ -20,6 +20,14 @@
                 "admissions_withheld_total",
                 "Admissions that would have taken the records above a limit, and were not written.",
                 counts.admissionsWithheld());
+        text.add(
+                "responses_held_total",
+                "Heartbeat responses with starts that were held back until the open jobs were read.",
+                counts.responsesHeld());
+        text.add(
+                "responses_without_read_total",
+                "Held responses that started nothing because the open jobs could not be read in time.",
+                counts.responsesWithoutRead());
         text.add(
                 "limit_violations_total",
                 "Starts refused because a team's bookings exceeded its limit, which indicates a bug.",
--- a/src/main/java/org/weldcourse/cluster/Machine.java
+++ b/src/main/java/org/weldcourse/cluster/Machine.java
@@ -78,6 +78,8 @@
     public final List<TaskStatus> exitedTasks = new ArrayList<>();
     /** Whether there may be commands that should not wait for the next heartbeat. */
     public boolean hasUnsentCommands;
+    /** Whether the response to the last heartbeat is held back until the open jobs were read. */
+    public boolean heartbeatResponsePending;
     /** Whether a direct command request is in flight; the next one waits for its response. */
     public boolean directCommandsInFlight;
     /** The tasks that the last accepted heartbeat listed as not exited. */
@@ -177,6 +179,11 @@
                 || heartbeat.incarnation() == incarnation && heartbeat.sequence() > heartbeatSequence;
     }
 
+    /** Whether this is the last accepted heartbeat. */
+    public boolean isLast(Heartbeat heartbeat) {
+        return heartbeat.incarnation() == incarnation && heartbeat.sequence() == heartbeatSequence;
+    }
+
     /** Adds a task's image to the cache and removes the least recently used ones that no longer fit. */
     public void cacheImage(String image, double gb) {
         invalidateAllocation();
--- a/src/main/java/org/weldcourse/leader/LeaderTerm.java
+++ b/src/main/java/org/weldcourse/leader/LeaderTerm.java
@@ -63,17 +63,14 @@
                 quotas,
                 recordWriter,
                 leaseRenewalBound,
+                dependencies.settings().storeLimits().requestsPerSecond(),
                 new RecordReaderListener());
         this.autoscaler = newAutoscaler();
         StartAuthorization startAuthorization = new StartAuthorization(cluster, quotas, dependencies.startCounts());
         startAuthorization.logFirstStarts();
         CommandSelector commands = new CommandSelector(cluster, startAuthorization);
         HeartbeatReconciler reconciler = new HeartbeatReconciler(
-                cluster,
-                commands,
-                fencingToken,
-                dependencies.settings().workers().leaseMicros(),
-                startAuthorization);
+                cluster, fencingToken, dependencies.settings().workers().leaseMicros(), startAuthorization);
         this.cycle = new AdmissionCycle(
                 dependencies, fencingToken, recovery, cluster, quotas, recordWriter, commands, autoscaler);
         this.heartbeats = new HeartbeatHandler(
@@ -85,6 +82,7 @@
                 reconciler,
                 recovery,
                 leaseRenewalBound,
+                recordReader.readBarrier(),
                 cycle::wakeForEvent);
     }
 
@@ -134,6 +132,7 @@
     /** Ends the term: its components stop, and responses to its requests are ignored. */
     public void stop() {
         cycle.cancel();
+        heartbeats.stop();
         recordReader.stop();
         recordWriter.stop();
         quotas.end();
@@ -247,7 +246,7 @@
     private final class QuotaTermAdapter implements LedgerQuotaEnforcement.TermCallbacks {
         @Override
         public void readOpenJobs() {
-            recordReader.readChanges();
+            recordReader.readChangesForQuotas();
         }
 
         @Override
--- a/src/main/java/org/weldcourse/leader/SyntheticCluster.java
+++ b/src/main/java/org/weldcourse/leader/SyntheticCluster.java
@@ -90,8 +90,8 @@
         this.demandEstimator = new CapacityDemandEstimator(state, settings);
         StartAuthorization startAuthorization = new StartAuthorization(state, quotas, new StartCounts());
         this.commands = new CommandSelector(state, startAuthorization);
-        this.reconciler = new HeartbeatReconciler(
-                state, commands, FENCING_TOKEN, settings.workers().leaseMicros(), startAuthorization);
+        this.reconciler =
+                new HeartbeatReconciler(state, FENCING_TOKEN, settings.workers().leaseMicros(), startAuthorization);
         this.recordWriter =
                 new RecordWriter(store, clock, timers, settings.storeLimits(), 1, new IgnoredWriterEvents());
         for (int i = 0; i < MACHINES; i++) {
@@ -160,9 +160,12 @@
         } catch (MalformedHeartbeatException unexpected) {
             throw new IllegalStateException(unexpected);
         }
-        HeartbeatReconciler.Result result =
-                reconciler.reconcile(state.getOrAddMachine(heartbeat.machine(), nowMicros), heartbeat, true, nowMicros);
-        reply.send(200, CommandCodec.encodeHeartbeatResponse(FENCING_TOKEN, result.commands()));
+        Machine machine = state.getOrAddMachine(heartbeat.machine(), nowMicros);
+        reconciler.reconcile(machine, heartbeat, nowMicros);
+        commands.hasTasksToStart(machine);
+        reply.send(
+                200,
+                CommandCodec.encodeHeartbeatResponse(FENCING_TOKEN, commands.selectCommands(machine, true, nowMicros)));
     }
 
     /** Runs one admission cycle and plans the scale-out for its pending tasks. */
--- a/src/main/java/org/weldcourse/persistence/OpenJobsWatch.java
+++ b/src/main/java/org/weldcourse/persistence/OpenJobsWatch.java
@@ -1,6 +1,7 @@
 package org.weldcourse.persistence;
 
 import java.util.Map;
+import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.weldcourse.cluster.ClusterState;
@@ -42,7 +43,7 @@
     /** The revision up to which the records of open jobs were read. */
     private long openJobsRevision;
 
-    private boolean readingChanges;
+    private boolean readingForQuotas;
     private boolean stopped;
 
     OpenJobsWatch(
@@ -104,19 +105,34 @@
         quotas.openJobsReadUpTo(revision);
     }
 
-    /** Reads the changes of open jobs immediately, in addition to the watch in flight. */
-    void readChanges() {
-        if (stopped || readingChanges || openJobsRevision == 0) {
+    /** Reads the changes of open jobs immediately for the quotas, unless such a read is in flight. */
+    void readChangesForQuotas() {
+        if (stopped || readingForQuotas || openJobsRevision == 0) {
             return;
         }
-        readingChanges = true;
+        readingForQuotas = true;
+        readChanges(outcome -> {
+            readingForQuotas = false;
+            if (!stopped && outcome == Outcome.OK) {
+                listener.jobsChanged();
+            }
+        });
+    }
+
+    /**
+     * Reads the changes of open jobs immediately, in addition to the watch in flight. The callback receives the outcome
+     * after the changes were applied. Only valid once the open jobs were loaded.
+     */
+    void readChanges(Consumer<Outcome> callback) {
         long sentMicros = clock.nowMicros();
         store.changes(StoreKeys.OPEN_JOBS, openJobsRevision, events -> {
-            readingChanges = false;
             if (!stopped && events.outcome() == Outcome.OK) {
                 applyChanges(events, sentMicros);
-                listener.jobsChanged();
+                if (!events.events().isEmpty()) {
+                    listener.jobsChanged();
+                }
             }
+            callback.accept(events.outcome());
         });
     }
 
--- a/src/main/java/org/weldcourse/persistence/RecordReader.java
+++ b/src/main/java/org/weldcourse/persistence/RecordReader.java
@@ -13,6 +13,7 @@
 public final class RecordReader {
     private final OpenJobsWatch openJobs;
     private final FailoverRecovery recovery;
+    private final ReadBarrier readBarrier;
 
     /** Receives the results of reads. */
     public interface Listener {
@@ -31,7 +32,11 @@
         void jobsChanged();
     }
 
-    /** Creates a reader for one leader term; it reads nothing before {@link #load}. */
+    /**
+     * Creates a reader for one leader term; it reads nothing before {@link #load}.
+     *
+     * @param requestsPerSecond the store's request rate for all nodes together
+     */
     public RecordReader(
             Store store,
             Clock clock,
@@ -40,17 +45,20 @@
             QuotaEnforcement quotas,
             RecordWriter recordWriter,
             WorkerLeaseRenewalBound leaseRenewalBound,
+            double requestsPerSecond,
             Listener listener) {
         UnreadableRecords unreadable = new UnreadableRecords(cluster);
         this.openJobs = new OpenJobsWatch(
                 store, clock, timers, cluster, quotas, recordWriter, leaseRenewalBound, unreadable, listener);
         this.recovery = new FailoverRecovery(store, clock, timers, cluster, recordWriter, unreadable, listener);
+        this.readBarrier = new ReadBarrier(clock, timers, requestsPerSecond, openJobs::readChanges);
     }
 
     /** Stops reading: responses to requests in flight are ignored. */
     public void stop() {
         openJobs.stop();
         recovery.stop();
+        readBarrier.stop();
     }
 
     /**
@@ -61,9 +69,14 @@
         openJobs.load(recovery::load);
     }
 
-    /** Reads the changes of open jobs immediately, in addition to the watch in flight. */
-    public void readChanges() {
-        openJobs.readChanges();
+    /** Reads the changes of open jobs immediately for the quotas, in addition to the watch in flight. */
+    public void readChangesForQuotas() {
+        openJobs.readChangesForQuotas();
+    }
+
+    /** Lets callers wait until the open jobs were read by a later request; used only once all records are loaded. */
+    public ReadBarrier readBarrier() {
+        return readBarrier;
     }
 
     /**
--- a/src/main/java/org/weldcourse/workers/BookingReconciler.java
+++ b/src/main/java/org/weldcourse/workers/BookingReconciler.java
@@ -66,6 +66,8 @@
      * its lease expired and a new incarnation began: the booking is released. If it was never listed, the task was not
      * started or the response with the start command was lost. It may then be started again or, if it is no longer
      * wanted, released, because this heartbeat is newer than every response that told the worker to start it.
+     *
+     * @return whether a booking was released
      */
     private boolean releaseUnlisted(Machine machine, Set<TaskId> listed, long nowMicros) {
         boolean released = false;
@@ -74,10 +76,23 @@
                 continue;
             }
             booking.clearStartSent();
-            if (booking.isReported() || booking.isPersisted() && isNoLongerWanted(booking)) {
-                ReleaseReason reason =
-                        booking.isReported() ? ReleaseReason.NO_LONGER_LISTED : ReleaseReason.NEVER_LISTED;
-                cluster.release(booking, reason, nowMicros);
+            if (booking.isReported()) {
+                cluster.release(booking, ReleaseReason.NO_LONGER_LISTED, nowMicros);
+                released = true;
+            }
+        }
+        return released | releaseUnwanted(machine, nowMicros);
+    }
+
+    /**
+     * Releases the bookings of admitted tasks that are no longer wanted, and that no response to the machine's last
+     * heartbeat or a later one told it to start. Returns whether any was released.
+     */
+    boolean releaseUnwanted(Machine machine, long nowMicros) {
+        boolean released = false;
+        for (Booking booking : new ArrayList<>(machine.bookings.values())) {
+            if (booking.isPersisted() && !booking.isReported() && !booking.isStartSent() && isNoLongerWanted(booking)) {
+                cluster.release(booking, ReleaseReason.NEVER_LISTED, nowMicros);
                 released = true;
             }
         }
--- a/src/main/java/org/weldcourse/workers/CommandSelector.java
+++ b/src/main/java/org/weldcourse/workers/CommandSelector.java
@@ -29,13 +29,16 @@
     /**
      * Selects the commands of the response to an accepted heartbeat: forget and stop commands first, then starts on the
      * remaining capacity.
+     *
+     * @param mayStart whether the leader may start tasks: its lease is valid, and every cancellation that was confirmed
+     *     before the heartbeat arrived is known
      */
-    List<WorkerCommand> selectCommands(Machine machine, boolean mayStart, long nowMicros) {
+    public List<WorkerCommand> selectCommands(Machine machine, boolean mayStart, long nowMicros) {
         List<WorkerCommand> commands = new ArrayList<>();
         addForgets(machine, commands);
         addStopsOfUnbookedTasks(machine, commands);
         addStops(machine, commands);
-        if (mayStart && machine.type != null) {
+        if (mayStart && mayStartOn(machine)) {
             addStarts(machine, commands, nowMicros);
         }
         return commands;
@@ -98,7 +101,27 @@
         }
     }
 
-    private void addStarts(Machine machine, List<WorkerCommand> commands, long nowMicros) {
+    /** Whether an admitted task fits the machine's capacity now, so that a response would start it. */
+    public boolean hasTasksToStart(Machine machine) {
+        if (!mayStartOn(machine)) {
+            return false;
+        }
+        FreeCapacity freeCapacity = freeCapacity(machine);
+        return machine.bookings.values().stream()
+                .anyMatch(booking -> StartAuthorization.isAdmitted(booking)
+                        && freeCapacity.fits(booking.job().spec()));
+    }
+
+    /**
+     * Whether tasks may be started on the machine. One whose deletion the cloud has not confirmed starts nothing more,
+     * but its exited tasks free their bookings.
+     */
+    private static boolean mayStartOn(Machine machine) {
+        return machine.type != null && !machine.isCordoned() && !machine.deleting;
+    }
+
+    /** The capacity of the machine that is left for starts after the commands that stop tasks. */
+    private static FreeCapacity freeCapacity(Machine machine) {
         FreeCapacity freeCapacity = new FreeCapacity(machine.type);
         for (Booking booking : machine.bookings.values()) {
             // The worker executes commands in order. A stopped task that saves no checkpoint exits at once, before the
@@ -107,6 +130,11 @@
                 freeCapacity.allocate(booking.job().spec());
             }
         }
+        return freeCapacity;
+    }
+
+    private void addStarts(Machine machine, List<WorkerCommand> commands, long nowMicros) {
+        FreeCapacity freeCapacity = freeCapacity(machine);
         for (Booking booking : machine.bookings.values()) {
             JobSpec spec = booking.job().spec();
             if (!freeCapacity.fits(spec)
--- a/src/main/java/org/weldcourse/workers/DirectCommands.java
+++ b/src/main/java/org/weldcourse/workers/DirectCommands.java
@@ -60,7 +60,7 @@
     private List<WorkerCommand> selectCommands(Machine machine, boolean overloaded) {
         machine.hasUnsentCommands = selector.needsHeartbeatPrompt(machine);
         List<WorkerCommand> commands = new ArrayList<>();
-        if (machine.hasUnsentCommands && !overloaded) {
+        if (machine.hasUnsentCommands && !overloaded && !machine.heartbeatResponsePending) {
             selector.heartbeatPromptCommand(machine).ifPresent(commands::add);
         }
         for (Booking booking : machine.bookings.values()) {
--- a/src/main/java/org/weldcourse/workers/HeartbeatReconciler.java
+++ b/src/main/java/org/weldcourse/workers/HeartbeatReconciler.java
@@ -1,6 +1,5 @@
 package org.weldcourse.workers;
 
-import java.util.List;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.weldcourse.cluster.ClusterState;
@@ -18,18 +17,12 @@
     private final long fencingToken;
     private final BookingReconciler bookingReconciler;
     private final ResponseLossDetector responseLossDetector;
-    private final CommandSelector commandSelector;
 
     /** Creates a reconciler for the leader with this fencing token; worker leases last {@code leaseMicros}. */
     public HeartbeatReconciler(
-            ClusterState cluster,
-            CommandSelector commandSelector,
-            long fencingToken,
-            long leaseMicros,
-            StartAuthorization startAuthorization) {
+            ClusterState cluster, long fencingToken, long leaseMicros, StartAuthorization startAuthorization) {
         this.cluster = cluster;
         this.fencingToken = fencingToken;
-        this.commandSelector = commandSelector;
         this.responseLossDetector = new ResponseLossDetector(leaseMicros);
         this.bookingReconciler = new BookingReconciler(cluster, responseLossDetector, startAuthorization);
     }
@@ -37,26 +30,19 @@
     /**
      * The result of processing a heartbeat.
      *
-     * @param commands the commands of the response, in the order in which the worker is to execute them
+     * @param accepted whether the heartbeat tells what is on the machine, so that its response may carry any command
      * @param changed whether anything changed that the next admission cycle may use
      */
-    public record Result(List<WorkerCommand> commands, boolean changed) {
-        static final Result EMPTY = new Result(List.of(), false);
+    public record Result(boolean accepted, boolean changed) {
+        static final Result REFUSED = new Result(false, false);
     }
 
-    /**
-     * Processes a heartbeat and selects the commands of the response.
-     *
-     * @param mayStart whether the leader may currently start tasks
-     */
-    public Result reconcile(Machine machine, Heartbeat heartbeat, boolean mayStart, long nowMicros) {
-        if (!machine.isNewer(heartbeat)) {
-            return Result.EMPTY;
-        }
-        if (heartbeat.fencingToken() != fencingToken) {
-            // Sent before the worker saw this leader's token, perhaps long ago: the machine may no longer exist. The
-            // response carries the token, and the next heartbeat is accepted.
-            return new Result(commandSelector.stopCommandsForCancelledTasks(heartbeat), false);
+    /** Accepts or refuses a heartbeat, and updates the machine and its bookings from an accepted one. */
+    public Result reconcile(Machine machine, Heartbeat heartbeat, long nowMicros) {
+        // With another token, it was sent before the worker saw this leader's, perhaps long ago: the machine may no
+        // longer exist. The response carries the token, and the next heartbeat is accepted.
+        if (!machine.isNewer(heartbeat) || heartbeat.fencingToken() != fencingToken) {
+            return Result.REFUSED;
         }
         if (heartbeat.incarnation() > machine.incarnation) {
             responseLossDetector.onNewIncarnation(machine, nowMicros);
@@ -66,10 +52,15 @@
         cluster.setPresentTasks(machine, heartbeat.tasks());
         changed |= bookingReconciler.reconcile(machine, heartbeat.tasks(), nowMicros);
         responseLossDetector.checkIncarnationOutlivesLease(machine, nowMicros);
-        // A machine whose deletion the cloud has not confirmed is still reconciled: it starts nothing more, but its
-        // exited tasks free their bookings.
-        boolean mayStartThere = mayStart && !machine.isCordoned() && !machine.deleting;
-        return new Result(commandSelector.selectCommands(machine, mayStartThere, nowMicros), changed);
+        return new Result(true, changed);
+    }
+
+    /**
+     * Releases bookings of the machine that became unwanted after its last heartbeat was accepted and before the
+     * response to it is sent. Returns whether any was released.
+     */
+    public boolean releaseUnwanted(Machine machine, long nowMicros) {
+        return bookingReconciler.releaseUnwanted(machine, nowMicros);
     }
 
     /**
--- a/src/main/java/org/weldcourse/workers/StartAuthorization.java
+++ b/src/main/java/org/weldcourse/workers/StartAuthorization.java
@@ -66,7 +66,8 @@
         return isAdmitted(booking) && hasNoOtherAttempt(booking) && isWithinLimit(booking, nowMicros);
     }
 
-    private static boolean isAdmitted(Booking booking) {
+    /** Whether the task waits for its start on a persisted admission, and neither its job nor the leader has ended it. */
+    static boolean isAdmitted(Booking booking) {
         Job job = booking.job();
         return booking.isPersisted()
                 && !booking.isReported()
--- a/src/main/java/org/weldcourse/workers/StartCounts.java
+++ b/src/main/java/org/weldcourse/workers/StartCounts.java
@@ -6,6 +6,8 @@
     private long withheld;
     private long violations;
     private long admissionsWithheld;
+    private long responsesHeld;
+    private long responsesWithoutRead;
 
     void countStarted() {
         started++;
@@ -20,6 +22,16 @@
         admissionsWithheld++;
     }
 
+    /**
+     * Counts a heartbeat response with starts that was held back until the open jobs were read.
+     *
+     * @param read whether they were; otherwise the response started nothing
+     */
+    public void countHeldResponse(boolean read) {
+        responsesHeld++;
+        responsesWithoutRead += read ? 0 : 1;
+    }
+
     void countViolation() {
         violations++;
     }
@@ -29,6 +41,16 @@
         return admissionsWithheld;
     }
 
+    /** The number of heartbeat responses with starts that were held back until the open jobs were read. */
+    public long responsesHeld() {
+        return responsesHeld;
+    }
+
+    /** The number of these responses that started nothing because the open jobs could not be read in time. */
+    public long responsesWithoutRead() {
+        return responsesWithoutRead;
+    }
+
     /** The number of start commands sent. */
     public long started() {
         return started;
--- a/src/main/java/org/weldcourse/workers/WorkerLeaseRenewalBound.java
+++ b/src/main/java/org/weldcourse/workers/WorkerLeaseRenewalBound.java
@@ -23,8 +23,6 @@
      * instead.
      */
     public static final long MARGIN_MICROS = 3_000_000;
-    /** Reads are sent once a second; after a longer gap, too many cancellations may be unknown to start tasks. */
-    private static final long MAX_READ_AGE_TO_START_MICROS = 3_000_000;
 
     private static final long NEVER_READ = Long.MIN_VALUE;
 
@@ -44,11 +42,6 @@
         lastReadSentMicros = Math.max(lastReadSentMicros, sentMicros);
     }
 
-    /** Whether the last read is recent enough to start tasks: few cancellations can be unknown. */
-    public boolean isReadFresh(long nowMicros) {
-        return lastReadSentMicros != NEVER_READ && nowMicros - lastReadSentMicros < MAX_READ_AGE_TO_START_MICROS;
-    }
-
     /**
      * Whether leases may be renewed; not before the first read, as the previous leader may have used up the whole time.
      */
--- a/src/test/java/org/weldcourse/app/IsolatedLeaderTest.java
+++ b/src/test/java/org/weldcourse/app/IsolatedLeaderTest.java
@@ -10,6 +10,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.weldcourse.simulation.FakeNetwork;
+import org.weldcourse.simulation.FakeWorker;
 import org.weldcourse.simulation.SimulatedCluster;
 
 /**
@@ -163,6 +164,33 @@
         scenario.assertAllJobsEnd(90);
     }
 
+    /**
+     * Guards against starts of cancelled jobs by a leader that has lost the store and not noticed it: its requests hang,
+     * its lease is valid and its last read is recent, while another node confirms the cancellation.
+     */
+    @ParameterizedTest
+    @ValueSource(doubles = {0.05, 0.4, 1.2, 2.5})
+    void leaderThatHasNotNoticedLosingStoreStartsNoCancelledTasks(double reachableAfterSeconds) {
+        FailureScenario scenario = scenario(3);
+        SimulatedCluster cluster = scenario.cluster;
+        scenario.limitCloudToOneLargeMachine();
+        FakeWorker worker = cluster.workers.values().iterator().next();
+        worker.freeze(true);
+        String id = scenario.submit(FOREVER);
+        cluster.clock.pass(300_000);
+        assertEquals(1, cluster.store.keys("slices/").size());
+        String oldLeader = cluster.leader();
+        cluster.cutFromStore(oldLeader);
+        scenario.cancelThrough(scenario.peerOf(oldLeader), id);
+        cluster.clock.passSeconds(reachableAfterSeconds);
+        worker.freeze(false);
+        cluster.clock.passSeconds(3);
+        assertEquals(0, cluster.startsAfterCancellation());
+        cluster.healStoreLink(oldLeader);
+        scenario.assertAllJobsEnd(60);
+        assertEquals(0, cluster.startsAfterCancellation());
+    }
+
     /** The job is cancelled while its tasks wait for a hanging machine, and the leader does not learn of it. */
     @ParameterizedTest
     @ValueSource(doubles = {1.6, 2.5, 6})
--- a/src/test/java/org/weldcourse/simulation/ClusterInvariants.java
+++ b/src/test/java/org/weldcourse/simulation/ClusterInvariants.java
@@ -137,6 +137,24 @@
         });
     }
 
+    /**
+     * Fails when the response to a heartbeat starts a task whose cancellation was confirmed before the heartbeat was
+     * sent. The task counts whether or not it begins to run.
+     */
+    void checkStartCommands(Map<String, Object> heartbeatResponse, long heartbeatSentMicros) {
+        for (Object item : Json.list(heartbeatResponse.get("orders"))) {
+            Map<String, Object> command = Json.object(item);
+            String task = Json.text(command, "bead");
+            if (!"run".equals(Json.text(command, "order"))) {
+                continue;
+            }
+            Long cancelledAtMicros = cancelledMicros.get(jobOf(task));
+            if (cancelledAtMicros != null && cancelledAtMicros < heartbeatSentMicros) {
+                throw new AssertionError("ran_cancelled: a heartbeat sent after the cancellation starts " + task);
+            }
+        }
+    }
+
     public FakeWorker workerOf(String task) {
         return workerByRunningTask.get(task);
     }
--- a/src/test/java/org/weldcourse/simulation/FakeNetwork.java
+++ b/src/test/java/org/weldcourse/simulation/FakeNetwork.java
@@ -18,6 +18,7 @@
     private final Set<String> lostResponseCallers = new HashSet<>();
     private final Set<String> refusals = new HashSet<>();
     private final Map<String, Long> latencyMicros = new HashMap<>();
+    private HeartbeatResponseListener heartbeatResponseListener = (response, heartbeatSentMicros) -> {};
     private FaultInjection faults = (from, call) -> NORMAL;
 
     /**
@@ -40,6 +41,17 @@
         faults = newFaults;
     }
 
+    /** Receives each response that a controller sends to a worker's heartbeat. */
+    public interface HeartbeatResponseListener {
+        /** Called when the controller sends the response; the heartbeat was sent at {@code heartbeatSentMicros}. */
+        void responseSent(Map<String, Object> response, long heartbeatSentMicros);
+    }
+
+    /** Sets the listener that receives the responses to heartbeats, also those that are lost on their way. */
+    public void onHeartbeatResponse(HeartbeatResponseListener listener) {
+        heartbeatResponseListener = listener;
+    }
+
     /** Answers the requests of one caller to an address with 503; its open watches there get no response. */
     public void refuse(String from, String to, boolean refused) {
         if (refused) {
@@ -88,6 +100,7 @@
         return (call, callback) -> {
             boolean[] completed = new boolean[1];
             String link = from + ">" + call.address();
+            long sentMicros = clock.nowMicros();
             long outcome = faults.outcomeOf(from, call);
             clock.after(call.timeoutMicros(), () -> completeOnce(completed, callback, HttpClient.Response.NO_RESPONSE));
             long delayMicros = ONE_WAY_MICROS + latencyMicros.getOrDefault(call.address(), 0L) + Math.max(0, outcome);
@@ -107,13 +120,7 @@
                 byte[] body = call.body() == null ? new byte[0] : Json.bytes(call.body());
                 handler.handle(
                         new Server.Request(call.method(), call.path(), body), (status, response, retryAfterSeconds) -> {
-                            // Serialized, so that the two sides share no mutable objects.
-                            byte[] bytes = Json.bytes(response);
-                            if (call.path().equals("/checkin") && bytes.length > 64 * 1024) {
-                                throw new AssertionError(
-                                        "heartbeat response of " + bytes.length + " bytes exceeds 64 KiB");
-                            }
-                            Map<String, Object> copy = Json.objectOrEmpty(bytes);
+                            Map<String, Object> copy = transmit(call, sentMicros, status, response);
                             clock.after(ONE_WAY_MICROS + Math.max(0, NORMAL - outcome), () -> {
                                 boolean lost = lostResponseCallers.contains(from)
                                         || cuts.contains(link)
@@ -129,6 +136,22 @@
         };
     }
 
+    /** Returns what the caller reads; the two sides share no mutable objects. */
+    private Map<String, Object> transmit(
+            HttpClient.Call call, long sentMicros, int status, Map<String, Object> response) {
+        byte[] bytes = Json.bytes(response);
+        Map<String, Object> copy = Json.objectOrEmpty(bytes);
+        if (call.path().equals("/checkin")) {
+            if (bytes.length > 64 * 1024) {
+                throw new AssertionError("heartbeat response of " + bytes.length + " bytes exceeds 64 KiB");
+            }
+            if (status == 200) {
+                heartbeatResponseListener.responseSent(copy, sentMicros);
+            }
+        }
+        return copy;
+    }
+
     private static void completeOnce(boolean[] completed, HttpClient.Callback callback, HttpClient.Response response) {
         if (!completed[0]) {
             completed[0] = true;
--- a/src/test/java/org/weldcourse/simulation/SimulatedCluster.java
+++ b/src/test/java/org/weldcourse/simulation/SimulatedCluster.java
@@ -103,6 +103,7 @@
         cloud = new FakeCloud(clock, 5_000_000, this::startWorker, this::stopWorker);
         network.host(STORE, store);
         network.host(CLOUD, cloud);
+        network.onHeartbeatResponse(invariants::checkStartCommands);
         Settings.StoreLimits storeLimits = new Settings.StoreLimits(250, 50, maxValueBytes, maxTransactionOps, next);
         new RecordedQuotaInvariant(store, teams, storeLimits).enforce();
         controllers = new SimulatedControllers(nodes, clock, network, teams, objectives, storeLimits, operatorSettings);
--- a/src/test/java/org/weldcourse/workers/HeartbeatReconcilerTest.java
+++ b/src/test/java/org/weldcourse/workers/HeartbeatReconcilerTest.java
@@ -35,8 +35,8 @@
 
     private final ClusterState cluster = new ClusterState();
     private final StartAuthorization startAuthorization = new StartAuthorization(cluster, UNLIMITED, new StartCounts());
-    private final HeartbeatReconciler reconciler = new HeartbeatReconciler(
-            cluster, new CommandSelector(cluster, startAuthorization), 7, 10_000_000, startAuthorization);
+    private final HeartbeatReconciler reconciler = new HeartbeatReconciler(cluster, 7, 10_000_000, startAuthorization);
+    private final CommandSelector commandSelector = new CommandSelector(cluster, startAuthorization);
 
     private static Heartbeat heartbeat(long sequence, long fencingToken, TaskId task) {
         return heartbeat(sequence, fencingToken, List.of(new TaskStatus(task, 1, TaskState.RUNNING, null)));
@@ -58,6 +58,17 @@
         return booking;
     }
 
+    /** Reconciles a heartbeat and selects the commands of its response, as the leader does. */
+    private Response reconcile(Machine machine, Heartbeat heartbeat, boolean mayStart, long nowMicros) {
+        HeartbeatReconciler.Result result = reconciler.reconcile(machine, heartbeat, nowMicros);
+        List<WorkerCommand> commands = result.accepted()
+                ? commandSelector.selectCommands(machine, mayStart, nowMicros)
+                : commandSelector.stopCommandsForCancelledTasks(heartbeat);
+        return new Response(commands, result.changed());
+    }
+
+    private record Response(List<WorkerCommand> commands, boolean changed) {}
+
     @Test
     void everyResponseStopsCancelledTasksBeforeTheNextCycle() throws Exception {
         Machine machine = cluster.getOrAddMachine("m-000001", 0);
@@ -65,27 +76,23 @@
         Job job = booking.job();
         assertEquals(
                 List.of(),
-                reconciler
-                        .reconcile(machine, heartbeat(1, 7, booking.taskId()), true, 1_000)
+                reconcile(machine, heartbeat(1, 7, booking.taskId()), true, 1_000)
                         .commands());
         job.cancel();
         List<WorkerCommand> stop = List.of(WorkerCommand.stop(booking.taskId(), 1, 0));
         assertEquals(
                 stop,
-                reconciler
-                        .reconcile(machine, heartbeat(2, 7, booking.taskId()), true, 2_000)
+                reconcile(machine, heartbeat(2, 7, booking.taskId()), true, 2_000)
                         .commands());
         // The response carries the stop even if the heartbeat has another token or the machine is being deleted.
         assertEquals(
                 stop,
-                reconciler
-                        .reconcile(machine, heartbeat(3, 6, booking.taskId()), true, 3_000)
+                reconcile(machine, heartbeat(3, 6, booking.taskId()), true, 3_000)
                         .commands());
         machine.deleting = true;
         assertEquals(
                 stop,
-                reconciler
-                        .reconcile(machine, heartbeat(4, 7, booking.taskId()), true, 4_000)
+                reconcile(machine, heartbeat(4, 7, booking.taskId()), true, 4_000)
                         .commands());
         assertTrue(booking.isStopSent());
     }
@@ -94,18 +101,15 @@
     void oldHeartbeatsAndThoseWithAnotherTokenChangeNothing() throws Exception {
         Machine machine = cluster.getOrAddMachine("m-000001", 0);
         Booking booking = admit(1, machine);
-        assertFalse(reconciler
-                .reconcile(machine, heartbeat(1, 6, booking.taskId()), true, 1_000)
+        assertFalse(reconcile(machine, heartbeat(1, 6, booking.taskId()), true, 1_000)
                 .changed());
         assertFalse(booking.isReported());
         assertFalse(machine.isUp());
-        assertTrue(reconciler
-                .reconcile(machine, heartbeat(5, 7, booking.taskId()), true, 2_000)
+        assertTrue(reconcile(machine, heartbeat(5, 7, booking.taskId()), true, 2_000)
                 .changed());
         assertTrue(booking.isReported());
         for (long sequence = 4; sequence <= 5; sequence++) {
-            assertFalse(reconciler
-                    .reconcile(machine, heartbeat(sequence, 7, List.of()), true, 3_000)
+            assertFalse(reconcile(machine, heartbeat(sequence, 7, List.of()), true, 3_000)
                     .changed());
         }
         assertEquals(booking, machine.bookings.get(booking.taskId()));
@@ -115,11 +119,9 @@
     void taskThatIsNoLongerListedBecomesPendingAgain() throws Exception {
         Machine machine = cluster.getOrAddMachine("m-000001", 0);
         Booking booking = admit(1, machine);
-        reconciler.reconcile(machine, heartbeat(1, 7, booking.taskId()), true, 1_000);
+        reconcile(machine, heartbeat(1, 7, booking.taskId()), true, 1_000);
         assertFalse(booking.job().pendingTasks().get(0));
-        assertTrue(reconciler
-                .reconcile(machine, heartbeat(2, 7, List.of()), true, 2_000)
-                .changed());
+        assertTrue(reconcile(machine, heartbeat(2, 7, List.of()), true, 2_000).changed());
         assertTrue(machine.bookings.isEmpty());
         assertTrue(booking.job().pendingTasks().get(0));
     }
@@ -129,17 +131,17 @@
         Machine machine = cluster.getOrAddMachine("m-000001", 0);
         Booking first = admit(1, machine);
         first.markStartSent();
-        reconciler.reconcile(machine, heartbeat(1, 7, List.of()), false, 1_000);
+        reconcile(machine, heartbeat(1, 7, List.of()), false, 1_000);
         assertFalse(machine.isCordoned());
         assertEquals(first, machine.bookings.get(first.taskId()), "the start may be repeated");
         first.markStartSent();
-        reconciler.reconcile(machine, heartbeat(2, 7, List.of()), false, 2_000);
+        reconcile(machine, heartbeat(2, 7, List.of()), false, 2_000);
         assertTrue(machine.isCordoned());
         assertTrue(machine.bookings.isEmpty(), "released, so that another machine can be booked");
         Booking second = admit(2, machine);
         second.markStartSent();
         List<TaskStatus> listed = List.of(new TaskStatus(second.taskId(), 2, TaskState.FETCHING_IMAGE, null));
-        reconciler.reconcile(machine, heartbeat(3, 7, listed), false, 3_000);
+        reconcile(machine, heartbeat(3, 7, listed), false, 3_000);
         assertFalse(machine.isCordoned());
     }
 
@@ -150,15 +152,15 @@
             assertFalse(machine.isCordoned());
             Heartbeat heartbeat = new Heartbeat(
                     "m-000001", "x:1", "large", "a", false, incarnation, 1, 7, Heartbeat.NO_RECLAIM_NOTICE, List.of());
-            reconciler.reconcile(machine, heartbeat, false, incarnation * 9_000_000);
+            reconcile(machine, heartbeat, false, incarnation * 9_000_000);
         }
         assertTrue(machine.isCordoned());
         // An incarnation that lasts longer than one and a half leases must have received a response.
-        reconciler.reconcile(machine, heartbeat(9, 7, List.of()), false, 28_000_000);
+        reconcile(machine, heartbeat(9, 7, List.of()), false, 28_000_000);
         assertTrue(machine.isCordoned(), "heartbeat of an earlier incarnation");
         Heartbeat later =
                 new Heartbeat("m-000001", "x:1", "large", "a", false, 3, 2, 7, Heartbeat.NO_RECLAIM_NOTICE, List.of());
-        reconciler.reconcile(machine, later, false, 42_000_001);
+        reconcile(machine, later, false, 42_000_001);
         assertFalse(machine.isCordoned());
     }
 }
