Read a job again when its record is gone although this leader has not ended it

What callers could see: a task of a job that has ended is started by a leader that was deposed and does not know it yet.

Cause: the watch of the open jobs ignored deletions, and a new list of them, read when the changes were compacted, ignored what was missing in it. A job whose cancellation and end a leader missed together stayed open for it.

Evidence: both cases of leaderStartsNothingOfAJobWhoseRecordIsGone failed before (the task was started) and pass now.

Why this works: only leaders delete the record of a job. If the one that reads the deletion has not begun to end the job itself, it marks the job as stale at once, which forbids its starts and admissions, and reads the record: it finds that the job has ended. Cost: one read for each such job; none in the ordinary course, where a leader ends its jobs itself.

--- a/src/main/java/org/weldcourse/persistence/OpenJobsWatch.java
+++ b/src/main/java/org/weldcourse/persistence/OpenJobsWatch.java
@@ -1,6 +1,8 @@
 package org.weldcourse.persistence;
 
+import java.util.HashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
@@ -93,9 +95,15 @@
     }
 
     private void applyOpenJobs(Store.Listing open, long sentMicros) {
+        Set<String> openIds = new HashSet<>();
         for (Store.Entry entry : open.entries()) {
+            openIds.add(StoreKeys.jobId(entry.key()));
             applyJobRecord(entry.key(), entry.value(), entry.modRevision());
         }
+        cluster.jobs.values().stream()
+                .filter(job -> !openIds.contains(job.spec().id()))
+                .toList()
+                .forEach(this::jobRecordDeleted);
         leaseRenewalBound.recordOpenJobsRead(sentMicros);
         readUpTo(open.revision());
     }
@@ -140,6 +148,8 @@
         for (Store.Event event : events.events()) {
             if (event.value() != null) {
                 applyJobRecord(event.key(), event.value(), event.modRevision());
+            } else if (cluster.jobs.containsKey(StoreKeys.jobId(event.key()))) {
+                jobRecordDeleted(cluster.jobs.get(StoreKeys.jobId(event.key())));
             }
         }
         leaseRenewalBound.recordOpenJobsRead(sentMicros);
@@ -205,6 +215,16 @@
         });
     }
 
+    /**
+     * Handles the deletion of a job's record. Only leaders end jobs: if this one has not, a successor was elected that
+     * it does not know of. Nothing of the job is started before its record is read.
+     */
+    private void jobRecordDeleted(Job job) {
+        if (!job.isClosing()) {
+            rereadJob(job);
+        }
+    }
+
     private void applyJobRecord(String key, Map<String, Object> value, long revision) {
         String id = StoreKeys.jobId(key);
         Job job = cluster.jobs.get(id);
--- a/src/test/java/org/weldcourse/app/IsolatedLeaderTest.java
+++ b/src/test/java/org/weldcourse/app/IsolatedLeaderTest.java
@@ -9,9 +9,13 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.weldcourse.jobs.FinalStateCodec;
+import org.weldcourse.jobs.StoreKeys;
 import org.weldcourse.simulation.FakeNetwork;
 import org.weldcourse.simulation.FakeWorker;
 import org.weldcourse.simulation.SimulatedCluster;
+import org.weldcourse.store.Store.Outcome;
+import org.weldcourse.store.Transaction;
 
 /**
  * Guards against cancelled tasks that run on. A leader that cannot read the store does not know of a cancellation that
@@ -242,6 +246,39 @@
         scenario.assertAllJobsEnd(60);
     }
 
+    /**
+     * Guards against starts of a job that a successor has ended: a leader that was deposed without noticing it sees only
+     * that the job's record is gone, in the changes or, once these are compacted, in a new list.
+     */
+    @ParameterizedTest
+    @ValueSource(booleans = {false, true})
+    void leaderStartsNothingOfAJobWhoseRecordIsGone(boolean changesCompacted) {
+        FailureScenario scenario = scenario(1);
+        SimulatedCluster cluster = scenario.cluster;
+        scenario.limitCloudToOneLargeMachine();
+        FakeWorker worker = cluster.workers.values().iterator().next();
+        worker.freeze(true);
+        String id = scenario.submit(FOREVER);
+        cluster.clock.pass(300_000);
+        String leader = cluster.leader();
+        cluster.cutFromStore(leader);
+        Transaction end = new Transaction()
+                .delete(StoreKeys.openJob(id))
+                .put(StoreKeys.finalState(id), FinalStateCodec.encode(true, 0));
+        cluster.storeClient("successor").commit(end, commit -> assertEquals(Outcome.OK, commit.outcome()));
+        cluster.clock.pass(500_000);
+        if (changesCompacted) {
+            cluster.store.compactHistory();
+        }
+        cluster.healStoreLink(leader);
+        cluster.clock.passSeconds(3);
+        worker.freeze(false);
+        cluster.clock.passSeconds(3);
+        assertEquals(leader, cluster.leader());
+        assertEquals(0, cluster.starts.getOrDefault(id + "/0", 0));
+        assertEquals("cancelled", cluster.poll(leader, id).state());
+    }
+
     /** The job is cancelled while its tasks wait for a hanging machine, and the leader does not learn of it. */
     @ParameterizedTest
     @ValueSource(doubles = {1.6, 2.5, 6})
