Move how a job's runs ended out of Job into a class of its own

Failures, the backoff that they cause and run times are one duty with five fields; they move as they are to RunHistory. No behaviour changes.

--- a/src/main/java/org/weldcourse/admission/SnapshotBuilder.java
+++ b/src/main/java/org/weldcourse/admission/SnapshotBuilder.java
@@ -65,7 +65,7 @@
                         deadlines.latestStartMicros(job),
                         cluster.runTimes.expectedMicros(job),
                         zones,
-                        job.excludedMachines(),
+                        job.runHistory().excludedMachines(),
                         quotas.reservedTasks(job),
                         tasksReleasedByAdmission(job)));
             }
--- a/src/main/java/org/weldcourse/cluster/ClusterState.java
+++ b/src/main/java/org/weldcourse/cluster/ClusterState.java
@@ -163,7 +163,7 @@
                         booking.attempt(),
                         booking.machine().name,
                         cause);
-                booking.job().backOffUntil(nowMicros + REFUSED_BACKOFF_MICROS);
+                booking.job().runHistory().backOffUntil(nowMicros + REFUSED_BACKOFF_MICROS);
             }
             default ->
                 LOG.debug(
@@ -187,10 +187,11 @@
         }
         if (job.spec().isService() && ranMicros < SHORT_RUN_MICROS) {
             // Replicas are not expected to exit: back off, in case one always exits right after its start.
-            long backoffMicros = REFUSED_BACKOFF_MICROS << Math.min(6, job.incrementErrors() - 1);
-            job.backOffUntil(nowMicros + Math.min(MAX_BACKOFF_MICROS, backoffMicros));
+            long backoffMicros =
+                    REFUSED_BACKOFF_MICROS << Math.min(6, job.runHistory().incrementErrors() - 1);
+            job.runHistory().backOffUntil(nowMicros + Math.min(MAX_BACKOFF_MICROS, backoffMicros));
         } else {
-            job.clearErrors();
+            job.runHistory().clearErrors();
         }
         // The run time is known only if the start was observed; a run resumed from a checkpoint would look too short.
         if (booking.runningSinceMicros() >= 0 && booking.isStartObserved()) {
@@ -204,13 +205,13 @@
         LOG.info("{} attempt {} failed on {}", booking.taskId(), booking.attempt(), machine.name);
         machine.failedJobs.add(job.spec().id());
         machine.successesSinceError = 0;
-        job.excludedMachines().add(machine.name);
-        int errors = job.incrementErrors();
-        if (job.excludedMachines().size() >= FAILED_MACHINES_BEFORE_BACKOFF) {
+        job.runHistory().excludedMachines().add(machine.name);
+        int errors = job.runHistory().incrementErrors();
+        if (job.runHistory().excludedMachines().size() >= FAILED_MACHINES_BEFORE_BACKOFF) {
             // Failures on several machines point to the job itself: retry with exponential backoff, on any machine.
             long backoffMicros = BASE_BACKOFF_MICROS << Math.min(10, errors);
-            job.backOffUntil(nowMicros + Math.min(MAX_BACKOFF_MICROS, backoffMicros));
-            job.excludedMachines().clear();
+            job.runHistory().backOffUntil(nowMicros + Math.min(MAX_BACKOFF_MICROS, backoffMicros));
+            job.runHistory().excludedMachines().clear();
         }
     }
 
--- a/src/main/java/org/weldcourse/cluster/Job.java
+++ b/src/main/java/org/weldcourse/cluster/Job.java
@@ -3,7 +3,6 @@
 import java.util.BitSet;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
 import org.agrona.collections.Int2ObjectHashMap;
@@ -20,6 +19,7 @@
     private final long acceptedMicros;
     private final JobRecords records;
     private final ReleasedTasks releasedTasks = new ReleasedTasks();
+    private final RunHistory runHistory = new RunHistory();
     private final BitSet done = new BitSet();
     private final BitSet persistedDone = new BitSet();
     /**
@@ -31,15 +31,10 @@
     private final BitSet pending = new BitSet();
 
     private final Int2ObjectHashMap<Booking> bookings = new Int2ObjectHashMap<>();
-    private final Set<String> excludedMachines = new HashSet<>();
     private int unbookedTasks;
     private long doneSinceMicros = NEVER;
     private boolean cancelled;
     private int lastAttempt;
-    private int consecutiveErrors;
-    private int finishedRuns;
-    private long finishedRunMicros;
-    private long backoffUntilMicros;
     private boolean closing;
     private boolean closed;
     private boolean outstandingPersisted;
@@ -292,43 +287,13 @@
                 && !stale
                 && !mustMoveDoneToShards()
                 && !pending.isEmpty()
-                && nowMicros >= backoffUntilMicros
+                && !runHistory.isBackingOff(nowMicros)
                 && (!spec.isGang() || bookings.isEmpty());
     }
 
-    // Failures and run times
-
-    /** Names of machines on which tasks of the job failed recently; no task is booked there. */
-    public Set<String> excludedMachines() {
-        return excludedMachines;
-    }
-
-    /** Counts an error and returns the number of errors since the last success. */
-    int incrementErrors() {
-        return ++consecutiveErrors;
-    }
-
-    void clearErrors() {
-        consecutiveErrors = 0;
-    }
-
-    /** Delays further bookings until this time. */
-    void backOffUntil(long micros) {
-        backoffUntilMicros = micros;
-    }
-
-    void addRun(long ranMicros) {
-        finishedRuns++;
-        finishedRunMicros += ranMicros;
-    }
-
-    boolean hasFinishedRuns() {
-        return finishedRuns > 0;
-    }
-
-    /** The mean run time of finished tasks; at least one must have finished. */
-    long meanRunMicros() {
-        return finishedRunMicros / finishedRuns;
+    /** How the runs of the job's tasks ended. */
+    public RunHistory runHistory() {
+        return runHistory;
     }
 
     // Cancellation and closing
--- /dev/null
+++ b/src/main/java/org/weldcourse/cluster/RunHistory.java
@@ -0,0 +1,50 @@
+package org.weldcourse.cluster;
+
+import java.util.HashSet;
+import java.util.Set;
+
+/** How the runs of a job's tasks ended: failures, the backoff that they cause, and run times. */
+public final class RunHistory {
+    private final Set<String> excludedMachines = new HashSet<>();
+    private int consecutiveErrors;
+    private int finishedRuns;
+    private long finishedRunMicros;
+    private long backoffUntilMicros;
+
+    /** Names of machines on which tasks of the job failed recently; no task is booked there. */
+    public Set<String> excludedMachines() {
+        return excludedMachines;
+    }
+
+    /** Counts an error and returns the number of errors since the last success. */
+    int incrementErrors() {
+        return ++consecutiveErrors;
+    }
+
+    void clearErrors() {
+        consecutiveErrors = 0;
+    }
+
+    /** Delays further bookings until this time. */
+    void backOffUntil(long micros) {
+        backoffUntilMicros = micros;
+    }
+
+    boolean isBackingOff(long nowMicros) {
+        return nowMicros < backoffUntilMicros;
+    }
+
+    void addRun(long ranMicros) {
+        finishedRuns++;
+        finishedRunMicros += ranMicros;
+    }
+
+    boolean hasFinishedRuns() {
+        return finishedRuns > 0;
+    }
+
+    /** The mean run time of finished tasks; at least one must have finished. */
+    long meanRunMicros() {
+        return finishedRunMicros / finishedRuns;
+    }
+}
--- a/src/main/java/org/weldcourse/cluster/RunTimeEstimator.java
+++ b/src/main/java/org/weldcourse/cluster/RunTimeEstimator.java
@@ -27,7 +27,7 @@
         if (job.spec().isService()) {
             return;
         }
-        job.addRun(ranMicros);
+        job.runHistory().addRun(ranMicros);
         long estimateMicros = job.spec().estimatedRunMicros();
         if (estimateMicros > 0) {
             double[] sums = byClass.computeIfAbsent(job.spec().jobClass(), name -> new double[2]);
@@ -42,8 +42,8 @@
         if (job.spec().isService()) {
             return SERVICE_RUN_MICROS;
         }
-        if (job.hasFinishedRuns()) {
-            return job.meanRunMicros();
+        if (job.runHistory().hasFinishedRuns()) {
+            return job.runHistory().meanRunMicros();
         }
         double[] sums = byClass.get(job.spec().jobClass());
         double factor = sums == null ? 1 : (sums[0] + PRIOR_TASKS) / (sums[1] + PRIOR_TASKS);
