Count tasks whose zone is not known in every zone that a job may not overfill

Cause: a new leader knows the machine of a recorded task by its name alone, until the machine reports or the cloud lists it, which lags by up to 16 s. Such tasks were counted under the zone "null", that is in no zone, and the first machine that reported got the replicas that waited. The decision was right for what the leader knew and rested on knowledge that was not whole.

Why this works: ZoneCounts tells known zones from unknown ones, and a task whose zone is not known counts in every zone. If each admission keeps the bound with the unknown ones counted everywhere, the bound holds wherever they turn out to be. A single-zone job waits until the zone of all its tasks is known. The plan for renting counts in the same way, and a machine without a zone gets no tasks. An admission of such a job logs the counts that it rests on (debug).

Cost: after a failover, waiting tasks of spread and single-zone jobs that have tasks on machines not heard yet wait for their first reports (one interval for a machine that is up) or the cloud's list. No request to the state service.

--- a/src/main/java/org/weldcourse/admission/ArrayAdmission.java
+++ b/src/main/java/org/weldcourse/admission/ArrayAdmission.java
@@ -70,18 +70,13 @@
     }
 
     /**
-     * A single-zone job stays in the zone of its booked tasks, or goes to the zone with the most capacity if it has
+     * A single-zone job stays in the zone of its tasks on machines, or goes to the zone with the most capacity if it has
      * none.
      */
     private static ZoneBudget zoneBudget(JobView job, List<FreeCapacity> feasible) {
-        Map<String, Integer> tasksByZone = new HashMap<>(job.tasksByZone());
-        String onlyZone = null;
-        if (job.spec().singleZone()) {
-            onlyZone = tasksByZone.isEmpty()
-                    ? ArrayBinPacking.zoneWithMostCapacity(feasible, job.spec())
-                    : tasksByZone.keySet().iterator().next();
-        }
-        return new ZoneBudget(job.spec(), onlyZone, tasksByZone);
+        boolean choosesZone = job.spec().singleZone() && job.zones().isEmpty();
+        String onlyZone = choosesZone ? ArrayBinPacking.zoneWithMostCapacity(feasible, job.spec()) : null;
+        return new ZoneBudget(job.spec(), onlyZone, job.zones());
     }
 
     /**
--- a/src/main/java/org/weldcourse/admission/CapacityDemandEstimator.java
+++ b/src/main/java/org/weldcourse/admission/CapacityDemandEstimator.java
@@ -2,9 +2,9 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import org.weldcourse.cluster.ClusterState;
 import org.weldcourse.cluster.Job;
+import org.weldcourse.cluster.ZoneCounts;
 import org.weldcourse.fleet.CapacityDemand;
 import org.weldcourse.jobs.JobSpec;
 import org.weldcourse.settings.Settings;
@@ -47,7 +47,7 @@
                         gapMicros,
                         deadlines.dueMicros(job),
                         tasks.freeSlotsByZone(),
-                        spec.spreadAcrossZones() ? job.tasksByZone() : Map.of()));
+                        spec.spreadAcrossZones() ? job.zoneCounts() : ZoneCounts.NONE));
             }
         }
         return demand;
--- a/src/main/java/org/weldcourse/admission/GangPlacement.java
+++ b/src/main/java/org/weldcourse/admission/GangPlacement.java
@@ -2,12 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import org.weldcourse.admission.MachinePreemption.PlacementOption;
 import org.weldcourse.cluster.Snapshot.JobView;
+import org.weldcourse.cluster.ZoneCounts;
 import org.weldcourse.jobs.JobSpec;
 
 /** A possible placement of a gang: the machines, the tasks to preempt there, and its cost in CPU-seconds. */
@@ -69,7 +69,7 @@
         options.sort(Comparator.comparingDouble(PlacementOption::costPerTask)
                 .thenComparing(option -> option.capacity().machine.name()));
         Map<FreeCapacity, Integer> tasksByMachine = new LinkedHashMap<>();
-        ZoneBudget zones = new ZoneBudget(spec, null, new HashMap<>());
+        ZoneBudget zones = new ZoneBudget(spec, null, ZoneCounts.NONE);
         List<PlacementOption> chosen = new ArrayList<>();
         double cost = 0;
         int left = tasks;
--- a/src/main/java/org/weldcourse/admission/SnapshotBuilder.java
+++ b/src/main/java/org/weldcourse/admission/SnapshotBuilder.java
@@ -2,7 +2,6 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
 import org.weldcourse.cluster.ClusterState;
 import org.weldcourse.cluster.Job;
 import org.weldcourse.cluster.Machine;
@@ -10,6 +9,7 @@
 import org.weldcourse.cluster.Snapshot.JobView;
 import org.weldcourse.cluster.Snapshot.MachineView;
 import org.weldcourse.cluster.Snapshot.TeamView;
+import org.weldcourse.cluster.ZoneCounts;
 import org.weldcourse.fleet.HeartbeatTimeouts;
 import org.weldcourse.jobs.JobSpec;
 import org.weldcourse.quota.enforcement.QuotaEnforcement;
@@ -54,7 +54,7 @@
         List<JobView> jobs = new ArrayList<>();
         for (Job job : cluster.jobs.values()) {
             if (job.canBeBooked(nowMicros)) {
-                Map<String, Integer> zones = job.spec().hasZoneConstraint() ? job.tasksByZone() : Map.of();
+                ZoneCounts zones = job.spec().hasZoneConstraint() ? job.zoneCounts() : ZoneCounts.NONE;
                 boolean started = !job.bookings().isEmpty() || job.hasDoneTasks();
                 jobs.add(new JobView(
                         job.spec(),
--- a/src/main/java/org/weldcourse/cluster/Job.java
+++ b/src/main/java/org/weldcourse/cluster/Job.java
@@ -2,8 +2,6 @@
 
 import java.util.BitSet;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.Map;
 import java.util.Set;
 import org.agrona.collections.Int2ObjectHashMap;
 import org.weldcourse.jobs.JobSpec;
@@ -224,13 +222,10 @@
         return bookings.get(task);
     }
 
-    /** The number of booked tasks by zone. A machine whose zone is not known yet counts under {@code "null"}. */
-    public Map<String, Integer> tasksByZone() {
-        Map<String, Integer> zones = new HashMap<>();
-        for (Booking booking : bookings.values()) {
-            zones.merge(String.valueOf(booking.machine().zone), 1, Integer::sum);
-        }
-        return zones;
+    /** The zones of all booked tasks. */
+    public ZoneCounts zoneCounts() {
+        return ZoneCounts.ofTasksOn(
+                bookings.values().stream().map(Booking::machine).toList());
     }
 
     /** The highest attempt number assigned so far. */
--- a/src/main/java/org/weldcourse/cluster/Machine.java
+++ b/src/main/java/org/weldcourse/cluster/Machine.java
@@ -134,6 +134,7 @@
                 && !deleting
                 && !reportedFailed
                 && type != null
+                && zone != null
                 && reclaimAtMicros == Long.MAX_VALUE;
     }
 
--- a/src/main/java/org/weldcourse/cluster/Snapshot.java
+++ b/src/main/java/org/weldcourse/cluster/Snapshot.java
@@ -3,7 +3,6 @@
 import java.util.BitSet;
 import java.util.Comparator;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.weldcourse.fleet.MachineType;
 import org.weldcourse.jobs.JobSpec;
@@ -117,7 +116,7 @@
      *     ascending order; empty if there are none
      * @param latestStartMicros the latest start of a task that still ends in time
      * @param expectedRunMicros the expected run time of a task
-     * @param tasksByZone the number of booked tasks by zone, if the job has a zone constraint; else empty
+     * @param zones the zones of the tasks on machines, if the job has a zone constraint; else empty
      * @param excludedMachines names of machines that tasks of the job have failed on
      * @param quotaReservedTasks how many of the pending tasks already count as used by the team
      * @param releasedTasks how many tasks count as used by the team only until an admission of this job rewrites its
@@ -131,7 +130,7 @@
             long[] admissionDeadlinesMicros,
             long latestStartMicros,
             long expectedRunMicros,
-            Map<String, Integer> tasksByZone,
+            ZoneCounts zones,
             Set<String> excludedMachines,
             int quotaReservedTasks,
             int releasedTasks) {
--- a/src/main/java/org/weldcourse/fleet/CapacityDemand.java
+++ b/src/main/java/org/weldcourse/fleet/CapacityDemand.java
@@ -1,6 +1,7 @@
 package org.weldcourse.fleet;
 
 import java.util.Map;
+import org.weldcourse.cluster.ZoneCounts;
 import org.weldcourse.jobs.JobSpec;
 
 /**
@@ -11,7 +12,7 @@
  * @param gapMicros how long a slot stays empty between two consecutive tasks
  * @param deadlineMicros when all tasks should have finished
  * @param freeSlotsByZone for a gang, the free slots for its tasks in each zone
- * @param tasksByZone for a job that must be spread over zones, the number of its other tasks in each zone
+ * @param otherTasks for a job that must be spread over zones, the zones of its other tasks
  */
 public record CapacityDemand(
         JobSpec job,
@@ -20,10 +21,10 @@
         long gapMicros,
         long deadlineMicros,
         Map<String, Integer> freeSlotsByZone,
-        Map<String, Integer> tasksByZone) {
+        ZoneCounts otherTasks) {
     /** Creates demand for tasks that run back to back, without zone constraints from other tasks. */
     public CapacityDemand(JobSpec job, int tasks, long runMicros, long deadlineMicros) {
-        this(job, tasks, runMicros, 0, deadlineMicros, Map.of(), Map.of());
+        this(job, tasks, runMicros, 0, deadlineMicros, Map.of(), ZoneCounts.NONE);
     }
 
     /** Returns the time to fetch the job's image on a machine of this type, in microseconds. */
@@ -36,8 +37,12 @@
         return type.bootMicros() + fetchMicros(type) + runMicros + gapMicros;
     }
 
-    /** Returns how many more tasks of the job a zone may hold, given the current number in each zone. */
-    int remainingInZone(String zone, Map<String, Integer> currentByZone) {
-        return job.maxTasksPerZone() - currentByZone.getOrDefault(zone, 0);
+    /**
+     * Returns how many more tasks of the job a zone may hold beside its other tasks.
+     *
+     * @param plannedByZone the number of tasks of this demand that were assigned to hosts in each zone
+     */
+    int remainingInZone(String zone, Map<String, Integer> plannedByZone) {
+        return job.maxTasksPerZone() - otherTasks.atMostIn(zone) - plannedByZone.getOrDefault(zone, 0);
     }
 }
--- a/src/main/java/org/weldcourse/fleet/HostSupply.java
+++ b/src/main/java/org/weldcourse/fleet/HostSupply.java
@@ -38,15 +38,16 @@
     /**
      * Assigns slots to tasks of a gang or service, up to the job's limit per zone.
      *
-     * @param tasksByZone the number of the job's tasks in each zone; updated with the assigned slots
+     * @param plannedByZone the number of the demand's tasks assigned in each zone; updated with the assigned slots
      * @return the number of assigned slots
      */
-    int assignSlots(CapacityDemand demand, int wanted, Map<String, Integer> tasksByZone) {
-        int assigned = Math.min(Math.min(wanted, availableSlots(demand)), demand.remainingInZone(zone(), tasksByZone));
+    int assignSlots(CapacityDemand demand, int wanted, Map<String, Integer> plannedByZone) {
+        int assigned =
+                Math.min(Math.min(wanted, availableSlots(demand)), demand.remainingInZone(zone(), plannedByZone));
         if (assigned <= 0) {
             return 0;
         }
-        tasksByZone.merge(zone(), assigned, Integer::sum);
+        plannedByZone.merge(zone(), assigned, Integer::sum);
         slotCpus -= assigned * demand.job().cpus();
         if (demand.job().isService()) {
             serviceCpus += assigned * demand.job().cpus();
--- a/src/main/java/org/weldcourse/fleet/ScaleOutPlanner.java
+++ b/src/main/java/org/weldcourse/fleet/ScaleOutPlanner.java
@@ -94,7 +94,7 @@
         } else {
             // The booting machines suffice; their slots are assigned so that the next gang does not count on them too.
             int wanted = demand.tasks() - demand.freeSlotsByZone().getOrDefault(best, 0);
-            assignSlots(demand, best::equals, wanted, new HashMap<>(demand.tasksByZone()));
+            assignSlots(demand, best::equals, wanted, new HashMap<>());
         }
     }
 
@@ -120,28 +120,28 @@
     }
 
     private void launchForSlots(CapacityDemand demand, Predicate<String> inZone) {
-        Map<String, Integer> tasksByZone = new HashMap<>(demand.tasksByZone());
-        int remaining = assignSlots(demand, inZone, demand.tasks(), tasksByZone);
+        Map<String, Integer> plannedByZone = new HashMap<>();
+        int remaining = assignSlots(demand, inZone, demand.tasks(), plannedByZone);
         while (remaining > 0 && launches.size() < maxMachines) {
             // Without the zone limit check, this loop would keep launching machines that the job can't use.
             Optional<Candidate> cheapest = candidates.cheapest(demand, candidate -> {
                 String zone = candidate.offering().zone();
-                return inZone.test(zone) && demand.remainingInZone(zone, tasksByZone) > 0;
+                return inZone.test(zone) && demand.remainingInZone(zone, plannedByZone) > 0;
             });
             if (cheapest.isEmpty()) {
                 return;
             }
-            remaining -= launch(cheapest.get()).assignSlots(demand, remaining, tasksByZone);
+            remaining -= launch(cheapest.get()).assignSlots(demand, remaining, plannedByZone);
         }
     }
 
     /** Assigns slots on booting machines and returns how many are still missing. */
     private int assignSlots(
-            CapacityDemand demand, Predicate<String> inZone, int wanted, Map<String, Integer> tasksByZone) {
+            CapacityDemand demand, Predicate<String> inZone, int wanted, Map<String, Integer> plannedByZone) {
         int remaining = wanted;
         for (HostSupply supply : supplies) {
             if (inZone.test(supply.zone())) {
-                remaining -= supply.assignSlots(demand, remaining, tasksByZone);
+                remaining -= supply.assignSlots(demand, remaining, plannedByZone);
             }
         }
         return remaining;
--- a/src/main/java/org/weldcourse/leader/AdmissionCycle.java
+++ b/src/main/java/org/weldcourse/leader/AdmissionCycle.java
@@ -160,6 +160,9 @@
 
     /** Books the tasks immediately and writes the admission record; a failed write releases the bookings. */
     private void admit(Job job, Map<String, int[]> tasksByMachine, long nowMicros) {
+        if (job.spec().hasZoneConstraint()) {
+            LOG.debug("{} has tasks in {} before this admission", job.spec().id(), job.zoneCounts());
+        }
         int attempt = job.lastAttempt() + 1;
         List<Booking> booked = AttemptBookings.book(cluster, job, attempt, tasksByMachine, nowMicros);
         recordWriter.admit(job, attempt, booked, persisted -> {
--- a/src/test/java/org/weldcourse/admission/PlannerTest.java
+++ b/src/test/java/org/weldcourse/admission/PlannerTest.java
@@ -15,6 +15,7 @@
 import org.weldcourse.cluster.Snapshot.MachineView;
 import org.weldcourse.cluster.Snapshot.TaskView;
 import org.weldcourse.cluster.Snapshot.TeamView;
+import org.weldcourse.cluster.ZoneCounts;
 import org.weldcourse.fleet.MachineType;
 import org.weldcourse.http.Json;
 import org.weldcourse.jobs.JobSpec;
@@ -57,7 +58,7 @@
                 new long[] {accepted + 15 * SECOND, accepted + 60 * SECOND},
                 accepted + 100 * SECOND,
                 30 * SECOND,
-                Map.of(),
+                ZoneCounts.NONE,
                 Set.of(),
                 0,
                 0);
@@ -116,8 +117,8 @@
                 machine("m-2"),
                 machine("m-3", new TaskView(running, 0, false, NOW - SECOND, 60 * SECOND)));
         JobSpec idle = spec("req-000008", "rank", "idle", "beads", 2);
-        JobView array =
-                new JobView(idle, pending(2), NOW, false, new long[0], NOW + SECOND, SECOND, Map.of(), Set.of(), 0, 0);
+        JobView array = new JobView(
+                idle, pending(2), NOW, false, new long[0], NOW + SECOND, SECOND, ZoneCounts.NONE, Set.of(), 0, 0);
         // The large gang is overdue: the small gang behind it must not take the machines that it waits for.
         CycleDecisions decisions = decide(AMPLE_LIMITS, machines, gang(1, 3, 160), gang(2, 1, 160 - 1), array);
         assertEquals(List.of("req-000008"), admitted(decisions));
@@ -158,8 +159,8 @@
     @Test
     void quotaThatIsStillOnRecordCausesNoSecondPreemptionAndGoesToTheFirstJob() throws Exception {
         JobSpec preempted = spec("req-000009", "rank", "idle", "beads", 2, "cpus", 14.0);
-        JobView waiting =
-                new JobView(preempted, pending(1), NOW, true, new long[0], NOW, SECOND, Map.of(), Set.of(), 0, 1);
+        JobView waiting = new JobView(
+                preempted, pending(1), NOW, true, new long[0], NOW, SECOND, ZoneCounts.NONE, Set.of(), 0, 1);
         TaskView running = new TaskView(preempted, 1, false, NOW - SECOND, 60 * SECOND);
         List<MachineView> machines = List.of(machine("m-1"), machine("m-2", running));
         List<TeamView> teams = List.of(TeamView.of(
@@ -179,8 +180,8 @@
         TaskView second = new TaskView(service, 1, false, NOW - 60 * SECOND, Long.MAX_VALUE / 2);
         BitSet lost = new BitSet();
         lost.set(4, 6);
-        JobView waiting =
-                new JobView(service, lost, NOW, true, new long[0], NOW, SECOND, Map.of("a", 4), Set.of(), 0, 0);
+        JobView waiting = new JobView(
+                service, lost, NOW, true, new long[0], NOW, SECOND, new ZoneCounts(Map.of("a", 4), 0), Set.of(), 0, 0);
         // The fullest machine would come first, but it already runs a third of this service.
         List<MachineView> machines = List.of(machine("m-1", first, second), machine("m-2", first), machine("m-3"));
         Map<String, int[]> tasks =
@@ -188,10 +189,63 @@
         assertEquals(Set.of("m-2", "m-3"), tasks.keySet());
     }
 
+    private static JobView apartService(ZoneCounts zones) throws Exception {
+        JobSpec spec =
+                spec("req-000001", "shape", "service", "beads", 6, "cpus", 1.0, "expected_s", 0.0, "apart", true);
+        return new JobView(spec, pending(6), NOW, true, new long[0], NOW, SECOND, zones, Set.of(), 0, 0);
+    }
+
+    private static int admittedTasks(CycleDecisions decisions) {
+        return decisions.admissions().stream()
+                .flatMap(admission -> admission.tasks().values().stream())
+                .mapToInt(tasks -> tasks.length)
+                .sum();
+    }
+
+    /** Guards against too many replicas in a zone because those on machines not heard of yet counted in no zone. */
+    @Test
+    void tasksInUnknownZonesCountInEveryZone() throws Exception {
+        List<MachineView> machines = List.of(machine("m-1"), machine("m-2"));
+        assertEquals(3, admittedTasks(decide(AMPLE_LIMITS, machines, apartService(ZoneCounts.NONE))));
+        assertEquals(0, admittedTasks(decide(AMPLE_LIMITS, machines, apartService(new ZoneCounts(Map.of(), 3)))));
+        assertEquals(
+                1,
+                admittedTasks(decide(AMPLE_LIMITS, machines, apartService(new ZoneCounts(Map.of("a", 1, "b", 3), 1)))));
+        assertEquals(3, admittedTasks(decide(AMPLE_LIMITS, machines, apartService(new ZoneCounts(Map.of("b", 3), 0)))));
+    }
+
+    /** Guards against a second zone for a job whose other tasks are, or may be, in another one. */
+    @Test
+    void singleZoneJobWaitsWhileTheZoneOfItsTasksIsNotKnown() throws Exception {
+        JobSpec spec = spec("req-000001", "beads", 6, "cpus", 1.0, "together", true);
+        List<MachineView> machines = List.of(machine("m-1"));
+        for (ZoneCounts elsewhere : List.of(
+                new ZoneCounts(Map.of(), 1),
+                new ZoneCounts(Map.of("a", 1), 1),
+                new ZoneCounts(Map.of("a", 1, "b", 1), 0))) {
+            JobView job = new JobView(spec, pending(2), NOW, true, new long[0], NOW, SECOND, elsewhere, Set.of(), 0, 0);
+            assertEquals(0, admittedTasks(decide(AMPLE_LIMITS, machines, job)), elsewhere.toString());
+        }
+        JobView job = new JobView(
+                spec,
+                pending(2),
+                NOW,
+                true,
+                new long[0],
+                NOW,
+                SECOND,
+                new ZoneCounts(Map.of("a", 4), 0),
+                Set.of(),
+                0,
+                0);
+        assertEquals(2, admittedTasks(decide(AMPLE_LIMITS, machines, job)));
+    }
+
     private static JobView service(int replicas) throws Exception {
         JobSpec spec = spec(
                 "req-000001", "shape", "service", "rank", "prod", "beads", replicas, "cpus", 1.0, "expected_s", 0.0);
-        return new JobView(spec, pending(replicas), NOW, false, new long[0], NOW, SECOND, Map.of(), Set.of(), 0, 0);
+        return new JobView(
+                spec, pending(replicas), NOW, false, new long[0], NOW, SECOND, ZoneCounts.NONE, Set.of(), 0, 0);
     }
 
     @Test
@@ -236,7 +290,8 @@
                 new TaskView(other, 0, false, NOW - 29 * SECOND, 30 * SECOND),
                 new TaskView(other, 1, false, NOW, 30 * SECOND));
         JobSpec idle = spec("req-000008", "beads", 20, "cpus", 4.0);
-        JobView array = new JobView(idle, pending(20), NOW, false, new long[0], NOW, SECOND, Map.of(), Set.of(), 0, 0);
+        JobView array =
+                new JobView(idle, pending(20), NOW, false, new long[0], NOW, SECOND, ZoneCounts.NONE, Set.of(), 0, 0);
         CycleDecisions decisions = decide(AMPLE_LIMITS, List.of(ending), array);
         assertEquals(2, decisions.admissions().get(0).tasks().get("m-1").length);
         assertEquals(18, decisions.pending().get(0).tasks());
--- a/src/test/java/org/weldcourse/fleet/ScaleOutPlannerTest.java
+++ b/src/test/java/org/weldcourse/fleet/ScaleOutPlannerTest.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.weldcourse.cluster.ZoneCounts;
 import org.weldcourse.http.Json;
 import org.weldcourse.jobs.JobSpec;
 import org.weldcourse.jobs.JobSpecCodec;
@@ -107,7 +108,7 @@
         // 60 s allow six runs of 10 s, but only three with a gap of 10 s after each.
         assertEquals(0, launched(new CapacityDemand(job(), 40, 10 * SECOND, 60 * SECOND), runningHost(0, 0)));
         assertTrue(launched(
-                        new CapacityDemand(job(), 40, 10 * SECOND, 10 * SECOND, 60 * SECOND, Map.of(), Map.of()),
+                        new CapacityDemand(job(), 40, 10 * SECOND, 10 * SECOND, 60 * SECOND, Map.of(), ZoneCounts.NONE),
                         runningHost(0, 0))
                 > 0);
         HostCapacity booting = new HostCapacity(LARGE, "a", true, true, 10 * SECOND, 0, 0, new double[4]);
