Count tasks without a booking in their zones, when tasks are booked and when they start

What callers could see: a task in a zone that its job doesn't allow beside tasks that machines report and no record of the leader contains.

Cause: quota counts tasks without a booking, zones did not. A machine that is heard late can report such tasks after others of the job were booked, and a gang in one zone was booked anew while a task of its last attempt was on a machine.

Evidence: without these conditions unbookedTaskCountsInItsZone and singleZoneGangIsNotBookedWhileATaskOfAnEarlierAttemptIsOnAMachine fail (trial on a scratch copy); they pass now.

Why this works: the counts of a job cover the machines of its bookings and of its tasks without one. The start, which is checked once more, looks at them only where such tasks exist, so it costs nothing in the ordinary course.

--- a/src/main/java/org/weldcourse/cluster/ClusterState.java
+++ b/src/main/java/org/weldcourse/cluster/ClusterState.java
@@ -229,7 +229,7 @@
             if (job == null) {
                 tasksOfUnknownJobs++;
             } else {
-                job.addUnbookedTasks(1);
+                job.addUnbookedTask(machine);
                 quotaUsage.addUnbooked(job.spec());
             }
         }
@@ -245,7 +245,7 @@
             if (job.isEmpty()) {
                 tasksOfUnknownJobs--;
             } else {
-                job.get().addUnbookedTasks(-1);
+                job.get().removeUnbookedTask(machine);
                 quotaUsage.removeUnbooked(job.get().spec());
             }
         }
--- a/src/main/java/org/weldcourse/cluster/Job.java
+++ b/src/main/java/org/weldcourse/cluster/Job.java
@@ -1,7 +1,9 @@
 package org.weldcourse.cluster;
 
+import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
+import java.util.List;
 import java.util.Set;
 import org.agrona.collections.Int2ObjectHashMap;
 import org.weldcourse.jobs.JobSpec;
@@ -29,7 +31,9 @@
     private final BitSet pending = new BitSet();
 
     private final Int2ObjectHashMap<Booking> bookings = new Int2ObjectHashMap<>();
-    private int unbookedTasks;
+    /** The machines that report tasks of the job without a booking, once for each task. */
+    private final List<Machine> machinesOfUnbookedTasks = new ArrayList<>();
+
     private long doneSinceMicros = NEVER;
     private boolean cancelled;
     private int lastAttempt;
@@ -222,10 +226,11 @@
         return bookings.get(task);
     }
 
-    /** The zones of all booked tasks. */
+    /** The zones of all tasks that are or may be on machines, with a booking or without. */
     public ZoneCounts zoneCounts() {
-        return ZoneCounts.ofTasksOn(
-                bookings.values().stream().map(Booking::machine).toList());
+        List<Machine> machines = new ArrayList<>(machinesOfUnbookedTasks);
+        bookings.values().forEach(booking -> machines.add(booking.machine()));
+        return ZoneCounts.ofTasksOn(machines);
     }
 
     /** The highest attempt number assigned so far. */
@@ -263,17 +268,29 @@
         return (BitSet) pending.clone();
     }
 
-    /** Adds to the number of the job's tasks that machines report without a booking. */
-    void addUnbookedTasks(int difference) {
-        unbookedTasks += difference;
+    /** Adds a task that the machine reports without a booking. */
+    void addUnbookedTask(Machine machine) {
+        machinesOfUnbookedTasks.add(machine);
+    }
+
+    void removeUnbookedTask(Machine machine) {
+        machinesOfUnbookedTasks.remove(machine);
+    }
+
+    /** Whether machines report tasks of the job without a booking. */
+    public boolean hasUnbookedTasks() {
+        return !machinesOfUnbookedTasks.isEmpty();
     }
 
     /** Whether some tasks may still be on machines. */
     public boolean mayBeOnMachines() {
-        return !bookings.isEmpty() || unbookedTasks > 0;
+        return !bookings.isEmpty() || hasUnbookedTasks();
     }
 
-    /** Whether pending tasks may be booked now. A gang may not until all bookings of its last attempt are released. */
+    /**
+     * Whether pending tasks may be booked now. A gang may not until all bookings of its last attempt are released and, if
+     * its zones matter, no task of it is left on any machine.
+     */
     public boolean canBeBooked(long nowMicros) {
         return !cancelled
                 && !records.isWriteInFlight()
@@ -283,7 +300,8 @@
                 && !mustMoveDoneToShards()
                 && !pending.isEmpty()
                 && !runHistory.isBackingOff(nowMicros)
-                && (!spec.isGang() || bookings.isEmpty());
+                && (!spec.isGang() || bookings.isEmpty())
+                && !(spec.isGang() && spec.hasZoneConstraint() && hasUnbookedTasks());
     }
 
     /** How the runs of the job's tasks ended. */
--- a/src/main/java/org/weldcourse/workers/StartAuthorization.java
+++ b/src/main/java/org/weldcourse/workers/StartAuthorization.java
@@ -10,6 +10,7 @@
 import org.weldcourse.cluster.Job;
 import org.weldcourse.cluster.Machine;
 import org.weldcourse.cluster.QuotaUsage;
+import org.weldcourse.cluster.ZoneCounts;
 
 /**
  * Authorizes every start of a task. It checks the admitted task once more, because the team's quota usage may have
@@ -57,13 +58,16 @@
 
     /**
      * Whether the task may be started on its machine now: its admission is persisted, its job is open, no other
-     * attempt of it is on any machine and its team is within its limit. A refusal because of the limit is counted in
+     * attempt of it is on any machine, it keeps its job's zones and its team is within its limit. A refusal because of the limit is counted in
      * {@link StartCounts} and logged at most every 30 seconds per team.
      *
      * @param nowMicros the time of the event loop, in microseconds
      */
     public boolean allows(Booking booking, long nowMicros) {
-        return isAdmitted(booking) && hasNoOtherAttempt(booking) && isWithinLimit(booking, nowMicros);
+        return isAdmitted(booking)
+                && hasNoOtherAttempt(booking)
+                && keepsZones(booking)
+                && isWithinLimit(booking, nowMicros);
     }
 
     /** Whether the task waits for its start on a persisted admission, and neither its job nor the leader has ended it. */
@@ -90,6 +94,22 @@
         return true;
     }
 
+    /**
+     * Whether the task may be in its machine's zone, given the job's other tasks. Admissions keep the zones among the
+     * tasks that are booked; others may have been found on machines since.
+     */
+    private static boolean keepsZones(Booking booking) {
+        Job job = booking.job();
+        if (!job.hasUnbookedTasks() || !job.spec().hasZoneConstraint()) {
+            return true;
+        }
+        ZoneCounts zones = job.zoneCounts();
+        String zone = booking.machine().zone;
+        return job.spec().singleZone()
+                ? zones.areAllIn(zone)
+                : zones.atMostIn(zone) <= job.spec().maxTasksPerZone();
+    }
+
     private boolean isWithinLimit(Booking booking, long nowMicros) {
         String team = booking.job().spec().team();
         if (!quotas.isLimitExceeded(team)) {
--- a/src/test/java/org/weldcourse/workers/StartAuthorizationTest.java
+++ b/src/test/java/org/weldcourse/workers/StartAuthorizationTest.java
@@ -103,6 +103,53 @@
         assertEquals(ResourceAmount.ZERO, cluster.quotaUsage.unbookedBy(TEAM));
     }
 
+    private Job addJobWithZoneConstraint(String id, String constraint, String shape) throws Exception {
+        Job bound = new Job(
+                JobSpecCodec.decode(
+                        jobBody(id, "crew", TEAM, "cpus", 0.5, "beads", 3L, constraint, true, "shape", shape)),
+                1,
+                0);
+        cluster.jobs.put(id, bound);
+        return bound;
+    }
+
+    /** Guards against a wrong zone because of tasks that machines report and no record of this leader's contains. */
+    @Test
+    void unbookedTaskCountsInItsZone() throws Exception {
+        Machine other = cluster.getOrAddMachine("m-000002", 0);
+        machine.zone = "a";
+        for (String zone : List.of("a", "b")) {
+            other.zone = zone;
+            Job single = addJobWithZoneConstraint("req-000002", "together", "array");
+            Booking booking = cluster.book(single, 0, 2, machine, 0);
+            booking.markPersisted();
+            cluster.setUnbookedTasks(other, List.of(running("req-000002", 1, 1)));
+            assertEquals(zone.equals("a"), startAuthorization.allows(booking, 0), zone);
+            cluster.setUnbookedTasks(other, List.of());
+            assertTrue(startAuthorization.allows(booking, 0));
+            cluster.discard(booking);
+
+            Job spread = addJobWithZoneConstraint("req-000003", "apart", "array");
+            Booking replica = cluster.book(spread, 0, 2, machine, 0);
+            replica.markPersisted();
+            cluster.setUnbookedTasks(other, List.of(running("req-000003", 1, 1), running("req-000003", 2, 1)));
+            assertEquals(zone.equals("b"), startAuthorization.allows(replica, 0), zone);
+            cluster.setUnbookedTasks(other, List.of());
+            cluster.discard(replica);
+        }
+    }
+
+    @Test
+    void singleZoneGangIsNotBookedWhileATaskOfAnEarlierAttemptIsOnAMachine() throws Exception {
+        Machine other = cluster.getOrAddMachine("m-000002", 0);
+        Job gang = addJobWithZoneConstraint("req-000002", "together", "ensemble");
+        assertTrue(gang.canBeBooked(0));
+        cluster.setUnbookedTasks(other, List.of(running("req-000002", 1, 1)));
+        assertFalse(gang.canBeBooked(0));
+        cluster.setUnbookedTasks(other, List.of());
+        assertTrue(gang.canBeBooked(0));
+    }
+
     @Test
     void unknownTasksInAHeartbeatCountOnlyAgainstTheirOwnTeam() {
         Machine other = cluster.getOrAddMachine("m-000002", 0);
