Decide a booking and the stops that it needs together, whatever the budget of admissions

Cause: at the last admission that a cycle may make, an array's second part was booked in the place of victims, and merged into the admission of its first part, while the preemption of the victims was left out, as the number of admissions was used up already.

Why this works: both ask the same question, whether tasks of this job that are booked now are admitted (mayAdmit).

--- a/src/main/java/org/weldcourse/admission/ArrayAdmission.java
+++ b/src/main/java/org/weldcourse/admission/ArrayAdmission.java
@@ -105,7 +105,7 @@
             if (option != null) {
                 int taken = Math.min(requested, option.tasks());
                 usage.charge(spec, taken);
-                option.victims().forEach(victim -> bookings.preempt(capacity, victim));
+                option.victims().forEach(victim -> bookings.preempt(job, capacity, victim));
                 tasksByMachine.put(capacity, taken);
                 zones.consume(zone, taken);
                 left -= taken;
--- a/src/main/java/org/weldcourse/admission/CycleBookings.java
+++ b/src/main/java/org/weldcourse/admission/CycleBookings.java
@@ -89,8 +89,11 @@
         reservedMachines.add(capacity.machine.name());
     }
 
-    /** Frees the victim's resources for this cycle, and preempts it unless it is terminating already. */
-    void preempt(FreeCapacity capacity, TaskView victim) {
+    /**
+     * Frees the victim's resources for this cycle, and preempts it for the job unless it is terminating already. If the
+     * job's tasks can't be admitted in this cycle, the victim runs on and the resources stay reserved.
+     */
+    void preempt(JobView job, FreeCapacity capacity, TaskView victim) {
         if (capacity.victims.isEmpty()) {
             capacity.victims = Collections.newSetFromMap(new IdentityHashMap<>());
         }
@@ -98,7 +101,7 @@
             return;
         }
         capacity.allocate(victim.job(), -1);
-        if (!victim.terminating() && admissions.size() < maxAdmissions) {
+        if (!victim.terminating() && mayAdmit(job)) {
             preemptions.add(new CycleDecisions.Preemption(victim.job().id(), victim.task()));
         }
     }
@@ -125,20 +128,25 @@
     }
 
     private void admit(JobView job, Map<String, int[]> tasks) {
-        if (isLastAdmitted(job)) {
-            // Merge tasks placed by preemption with those placed on free capacity: a job has at most one admission a
-            // cycle, because its records must not be written twice at the same time.
-            admissions.get(admissions.size() - 1).add(tasks);
-        } else if (admissions.size() < maxAdmissions) {
-            admissions.add(new CycleDecisions.Admission(job.spec().id(), tasks));
-        } else {
+        if (!mayAdmit(job)) {
             // Beyond the limit of admissions the capacity stays booked for this cycle and the machines are reserved.
             // Otherwise less important jobs would be admitted instead, and the machines scaled in before a later cycle
             // can admit these tasks.
             reservedMachines.addAll(tasks.keySet());
+        } else if (isLastAdmitted(job)) {
+            // Merge tasks placed by preemption with those placed on free capacity: a job has at most one admission a
+            // cycle, because its records must not be written twice at the same time.
+            admissions.get(admissions.size() - 1).add(tasks);
+        } else {
+            admissions.add(new CycleDecisions.Admission(job.spec().id(), tasks));
         }
     }
 
+    /** Whether tasks of the job that are booked now are admitted, so that the victims that they need are preempted. */
+    private boolean mayAdmit(JobView job) {
+        return isLastAdmitted(job) || admissions.size() < maxAdmissions;
+    }
+
     private boolean isLastAdmitted(JobView job) {
         return !admissions.isEmpty()
                 && admissions.get(admissions.size() - 1).job().equals(job.spec().id());
--- a/src/main/java/org/weldcourse/admission/GangAdmission.java
+++ b/src/main/java/org/weldcourse/admission/GangAdmission.java
@@ -35,7 +35,7 @@
             GangPlacement best = cheapest(job, usage, tasks, domains, preempt);
             if (best != null) {
                 for (MachinePreemption.PlacementOption option : best.options()) {
-                    option.victims().forEach(victim -> bookings.preempt(option.capacity(), victim));
+                    option.victims().forEach(victim -> bookings.preempt(job, option.capacity(), victim));
                 }
                 bookings.book(job, usage, best.tasksByMachine());
                 return true;
--- a/src/main/java/org/weldcourse/admission/Planner.java
+++ b/src/main/java/org/weldcourse/admission/Planner.java
@@ -135,6 +135,6 @@
                 quota.addCandidate(capacity, task);
             }
         }
-        quota.choose().forEach(victim -> bookings.preempt(victim.capacity(), victim.task()));
+        quota.choose().forEach(victim -> bookings.preempt(job, victim.capacity(), victim.task()));
     }
 }
