Place a task again that waits for room which nothing on its machine will give

What callers could see: an array or a service that waits for ever, its admission on record, on a machine full of work that it may preempt.

Cause: an admission is on record, the stops of the tasks in whose place it is booked are not. A leader that takes over in between restores the booking and knows of no stop; booked tasks are not pending, so nothing was planned for them again. Gangs have a timeout for their start, other jobs had none.

Why this works: a task of an array or a service that was never listed, fits no room that its machine has, and for which nothing there is being stopped, is released 30 s after it was booked (or restored), on the same evidence as other bookings that are no longer wanted: the machine's last heartbeat doesn't list it, and no start was sent since. It is planned like any pending task, with the stops that it needs. A task that fits and only waits for its start (the store can't be read, the limit of its team) keeps its booking.

--- a/src/main/java/org/weldcourse/workers/BookingReconciler.java
+++ b/src/main/java/org/weldcourse/workers/BookingReconciler.java
@@ -14,6 +14,11 @@
 /** Reconciles the tasks that an accepted heartbeat lists with the machine's bookings. */
 final class BookingReconciler {
     private static final Logger LOG = LoggerFactory.getLogger(BookingReconciler.class);
+    /**
+     * How long a task may wait for room on its machine that nothing is freeing. The tasks there may end later than
+     * estimated, or their stop was decided by an earlier leader and lost with it.
+     */
+    private static final long MAX_WAIT_FOR_ROOM_MICROS = 30_000_000;
 
     private final ClusterState cluster;
     private final ResponseLossDetector responseLossDetector;
@@ -85,13 +90,16 @@
     }
 
     /**
-     * Releases the bookings of admitted tasks that are no longer wanted, and that no response to the machine's last
+     * Releases the bookings of admitted tasks that are no longer wanted here or wait in vain, and that no response to the machine's last
      * heartbeat or a later one told it to start. Returns whether any was released.
      */
     boolean releaseUnwanted(Machine machine, long nowMicros) {
         boolean released = false;
         for (Booking booking : new ArrayList<>(machine.bookings.values())) {
-            if (booking.isPersisted() && !booking.isReported() && !booking.isStartSent() && isNoLongerWanted(booking)) {
+            if (booking.isPersisted()
+                    && !booking.isReported()
+                    && !booking.isStartSent()
+                    && (isNoLongerWanted(booking) || waitsForRoomInVain(booking, nowMicros))) {
                 cluster.release(booking, ReleaseReason.NEVER_LISTED, nowMicros);
                 released = true;
             }
@@ -99,6 +107,19 @@
         return released;
     }
 
+    /**
+     * Whether the task of an array or a service has waited too long for room that no task is stopped for. A gang waits
+     * as a whole, and has a timeout of its own.
+     */
+    private static boolean waitsForRoomInVain(Booking booking, long nowMicros) {
+        Machine machine = booking.machine();
+        return !booking.job().spec().isGang()
+                && machine.type != null
+                && nowMicros - booking.bookedMicros() > MAX_WAIT_FOR_ROOM_MICROS
+                && !RemainingCapacity.afterStops(machine).fits(booking.job().spec())
+                && machine.bookings.values().stream().noneMatch(Booking::isStopRequested);
+    }
+
     /**
      * Whether the booking of an admitted task that was never listed is released. This includes tasks of a team above
      * its limit: the store may still hold the admission of a task that was preempted under an earlier leader, beside
--- a/src/main/java/org/weldcourse/workers/CommandSelector.java
+++ b/src/main/java/org/weldcourse/workers/CommandSelector.java
@@ -7,7 +7,6 @@
 import org.weldcourse.cluster.ClusterState;
 import org.weldcourse.cluster.Job;
 import org.weldcourse.cluster.Machine;
-import org.weldcourse.fleet.MachineType;
 import org.weldcourse.jobs.JobSpec;
 
 /** Selects the commands to send to a worker from the bookings of its machine and its last heartbeat. */
@@ -106,7 +105,7 @@
         if (!mayStartOn(machine)) {
             return false;
         }
-        FreeCapacity freeCapacity = freeCapacity(machine);
+        RemainingCapacity freeCapacity = RemainingCapacity.afterStops(machine);
         return machine.bookings.values().stream()
                 .anyMatch(booking -> StartAuthorization.isAdmitted(booking)
                         && freeCapacity.fits(booking.job().spec()));
@@ -120,21 +119,8 @@
         return machine.type != null && !machine.isCordoned() && !machine.deleting;
     }
 
-    /** The capacity of the machine that is left for starts after the commands that stop tasks. */
-    private static FreeCapacity freeCapacity(Machine machine) {
-        FreeCapacity freeCapacity = new FreeCapacity(machine.type);
-        for (Booking booking : machine.bookings.values()) {
-            // The worker executes commands in order. A stopped task that saves no checkpoint exits at once, before the
-            // starts, so its capacity counts as free.
-            if (booking.isReported() && (!booking.isStopRequested() || willSaveCheckpoint(booking))) {
-                freeCapacity.allocate(booking.job().spec());
-            }
-        }
-        return freeCapacity;
-    }
-
     private void addStarts(Machine machine, List<WorkerCommand> commands, long nowMicros) {
-        FreeCapacity freeCapacity = freeCapacity(machine);
+        RemainingCapacity freeCapacity = RemainingCapacity.afterStops(machine);
         for (Booking booking : machine.bookings.values()) {
             JobSpec spec = booking.job().spec();
             if (!freeCapacity.fits(spec)
@@ -149,38 +135,6 @@
         }
     }
 
-    /** Tracks the free capacity of a machine while its commands are selected. */
-    private static final class FreeCapacity {
-        private final MachineType type;
-        private double allocatedCpus;
-        private double allocatedGpus;
-        private double allocatedMemoryGb;
-
-        FreeCapacity(MachineType type) {
-            this.type = type;
-        }
-
-        void allocate(JobSpec spec) {
-            allocatedCpus += spec.cpus();
-            allocatedGpus += spec.gpus();
-            allocatedMemoryGb += spec.memoryGb();
-        }
-
-        boolean fits(JobSpec spec) {
-            double tolerance = MachineType.EPSILON;
-            return allocatedCpus + spec.cpus() <= type.cpus() + tolerance
-                    && allocatedGpus + spec.gpus() <= type.gpus() + tolerance
-                    && allocatedMemoryGb + spec.memoryGb() <= type.memoryGb() + tolerance;
-        }
-    }
-
-    private static boolean willSaveCheckpoint(Booking booking) {
-        boolean canSave = booking.job().spec().checkpointIntervalMicros() > 0
-                && booking.gracePeriodMicros() > 0
-                && booking.gracePeriodMicros() >= booking.job().spec().checkpointSaveMicros();
-        return canSave && booking.isRunning();
-    }
-
     /**
      * Whether a task waits for its start command, which only the response to the machine's next heartbeat can carry.
      */
