--- a/src/test/java/org/weldcourse/app/IsolatedLeaderTest.java
+++ b/src/test/java/org/weldcourse/app/IsolatedLeaderTest.java
@@ -169,6 +169,21 @@
         scenario.assertAllJobsEnd(90);
     }
 
+    /** Tasks that are admitted on the only machine start with the answer to its next heartbeat. */
+    private static FakeWorker hangOnlyMachine(FailureScenario scenario) {
+        scenario.limitCloudToOneLargeMachine();
+        FakeWorker worker = scenario.cluster.workers.values().iterator().next();
+        worker.freeze(true);
+        return worker;
+    }
+
+    private static String submitAndAwaitAdmission(FailureScenario scenario) {
+        String id = scenario.submit(FOREVER);
+        scenario.cluster.clock.pass(300_000);
+        assertEquals(1, scenario.cluster.store.keys("slices/").size());
+        return id;
+    }
+
     /**
      * Guards against starts of cancelled jobs by a leader that has lost the store and not noticed it: its requests hang,
      * its lease is valid and its last read is recent, while another node confirms the cancellation.
@@ -178,12 +193,8 @@
     void leaderThatHasNotNoticedLosingStoreStartsNoCancelledTasks(double reachableAfterSeconds) {
         FailureScenario scenario = scenario(3);
         SimulatedCluster cluster = scenario.cluster;
-        scenario.limitCloudToOneLargeMachine();
-        FakeWorker worker = cluster.workers.values().iterator().next();
-        worker.freeze(true);
-        String id = scenario.submit(FOREVER);
-        cluster.clock.pass(300_000);
-        assertEquals(1, cluster.store.keys("slices/").size());
+        FakeWorker worker = hangOnlyMachine(scenario);
+        String id = submitAndAwaitAdmission(scenario);
         String oldLeader = cluster.leader();
         cluster.cutFromStore(oldLeader);
         scenario.cancelThrough(scenario.peerOf(oldLeader), id);
@@ -205,11 +216,8 @@
     void leaderWhoseReadIsAnsweredLateStartsNoCancelledTasks(double readSeconds, boolean userPollsOtherNode) {
         FailureScenario scenario = scenario(3);
         SimulatedCluster cluster = scenario.cluster;
-        scenario.limitCloudToOneLargeMachine();
-        FakeWorker worker = cluster.workers.values().iterator().next();
-        worker.freeze(true);
-        String id = scenario.submit(FOREVER);
-        cluster.clock.pass(300_000);
+        FakeWorker worker = hangOnlyMachine(scenario);
+        String id = submitAndAwaitAdmission(scenario);
         String leader = cluster.leader();
         String peer = scenario.peerOf(leader);
         int[] slowReads = new int[1];
@@ -255,11 +263,8 @@
     void leaderStartsNothingOfAJobWhoseRecordIsGone(boolean changesCompacted) {
         FailureScenario scenario = scenario(1);
         SimulatedCluster cluster = scenario.cluster;
-        scenario.limitCloudToOneLargeMachine();
-        FakeWorker worker = cluster.workers.values().iterator().next();
-        worker.freeze(true);
-        String id = scenario.submit(FOREVER);
-        cluster.clock.pass(300_000);
+        FakeWorker worker = hangOnlyMachine(scenario);
+        String id = submitAndAwaitAdmission(scenario);
         String leader = cluster.leader();
         cluster.cutFromStore(leader);
         Transaction end = new Transaction()
@@ -285,25 +290,18 @@
     void leaderRefusedByStoreStartsNoCancelledTasks(double reachableAfterSeconds) {
         FailureScenario scenario = scenario(3);
         SimulatedCluster cluster = scenario.cluster;
-        scenario.limitCloudToOneLargeMachine();
-        String machine = cluster.workers.keySet().iterator().next();
-        // Tasks admitted on this machine start with the answer to its next heartbeat.
-        cluster.workers.get(machine).freeze(true);
-        String id = scenario.submit(FOREVER);
-        cluster.clock.pass(300_000);
-        assertEquals(1, cluster.store.keys("slices/").size());
+        FakeWorker worker = hangOnlyMachine(scenario);
+        String id = submitAndAwaitAdmission(scenario);
         String oldLeader = cluster.leader();
         cluster.refuseStore(oldLeader, true);
         cluster.clock.after(2_000_000, () -> cluster.store.down(true));
-        cluster.clock.after(
-                Math.round(reachableAfterSeconds * 1e6),
-                () -> cluster.workers.get(machine).freeze(false));
+        cluster.clock.after(Math.round(reachableAfterSeconds * 1e6), () -> worker.freeze(false));
         cluster.clock.passSeconds(0.7);
         scenario.cancelThrough(scenario.peerOf(oldLeader), id);
         cluster.clock.passSeconds(reachableAfterSeconds);
         cluster.clock.passSeconds(3);
         assertEquals(oldLeader, cluster.leader());
-        assertTrue(cluster.clock.nowMicros() - cluster.workers.get(machine).lastHeartbeatMicros() < 2_000_000);
+        assertTrue(cluster.clock.nowMicros() - worker.lastHeartbeatMicros() < 2_000_000);
         assertEquals(0, cluster.startsAfterCancellation());
         cluster.store.down(false);
         cluster.refuseStore(oldLeader, false);
