Prompt a machine again whose held response was given up

If the worker gave it up and its next heartbeat had nothing to start, the machine was prompted for no heartbeat until a later response was held, so that its starts waited for up to a report's interval. An accepted heartbeat takes the mark off. newerHeartbeatEndsTheWaitForAHeldResponse shows it.

--- a/src/main/java/org/weldcourse/workers/HeartbeatReconciler.java
+++ b/src/main/java/org/weldcourse/workers/HeartbeatReconciler.java
@@ -69,6 +69,8 @@
     private static boolean updateMachine(Machine machine, Heartbeat heartbeat, long nowMicros) {
         machine.incarnation = heartbeat.incarnation();
         machine.heartbeatSequence = heartbeat.sequence();
+        // The worker has given up the heartbeat before, if its response is still held back.
+        machine.heartbeatResponsePending = false;
         boolean changed = machine.lastHeartbeatMicros < 0 || !machine.reconciled;
         machine.reconciled = true;
         machine.lastHeartbeatMicros = nowMicros;
--- a/src/test/java/org/weldcourse/workers/HeartbeatReconcilerTest.java
+++ b/src/test/java/org/weldcourse/workers/HeartbeatReconcilerTest.java
@@ -115,6 +115,17 @@
         assertEquals(booking, machine.bookings.get(booking.taskId()));
     }
 
+    /** Guards against a machine that is not prompted for heartbeats any more because of a response that nobody awaits. */
+    @Test
+    void newerHeartbeatEndsTheWaitForAHeldResponse() {
+        Machine machine = cluster.getOrAddMachine("m-000001", 0);
+        machine.heartbeatResponsePending = true;
+        reconcile(machine, heartbeat(1, 6, List.of()), true, 1_000);
+        assertTrue(machine.heartbeatResponsePending, "refused, as it carries another token");
+        reconcile(machine, heartbeat(2, 7, List.of()), true, 2_000);
+        assertFalse(machine.heartbeatResponsePending);
+    }
+
     @Test
     void taskThatIsNoLongerListedBecomesPendingAgain() throws Exception {
         Machine machine = cluster.getOrAddMachine("m-000001", 0);
