--- a/review/lib-2/rev/CaseMistakes.java
+++ b/review/lib-2/rev/CaseMistakes.java
@@ -8,8 +8,8 @@
 final class CaseMistakes extends CaseBase {
     private static final String SOUND = "req-000100";
     private static final int SOUND_TASKS = 10;
-    private static final double SOUND_SECONDS = 40;
-    private static final int BAD_JOBS = 8;
+    private static final double SOUND_SECONDS = 60;
+    private static final int BAD_JOBS = 12;
     private static final int BAD_TASKS = 19;
     private static final long BAD_EVERY_MILLIS = 4_000;
     private static final long END_MILLIS = 110_000;
@@ -46,7 +46,7 @@
         for (int i = 1; i <= (trouble ? BAD_JOBS : 0); i++) {
             String id = String.format("req-%06d", i);
             Map<String, Object> bad = World.array(id, "reminder-array", "branch-ops", BAD_TASKS, 2.0, 7.3, 25);
-            bad.put("blank", "img-0" + i);
+            bad.put("blank", String.format("img-%02d", i));
             world.fails(id);
             world.upload(bad, 1.5);
             users.submit(bad);
