--- a/src/main/java/org/weldcourse/admission/CycleBookings.java
+++ b/src/main/java/org/weldcourse/admission/CycleBookings.java
@@ -100,9 +100,10 @@
         if (!capacity.victims.add(victim)) {
             return;
         }
-        capacity.allocate(victim.job(), -1);
+        capacity.allocate(victim.job(), -victim.count());
         if (!victim.terminating() && mayAdmit(job)) {
-            preemptions.add(new CycleDecisions.Preemption(victim.job().id(), victim.task()));
+            preemptions.add(new CycleDecisions.Preemption(
+                    victim.job().id(), victim.task(), capacity.machine.name(), victim.count()));
         }
     }
 
@@ -120,9 +121,13 @@
 
     private static int[] takePending(BitSet pending, int count) {
         int[] chosen = new int[count];
+        int next = -1;
         for (int i = 0; i < count; i++) {
-            chosen[i] = pending.nextSetBit(0);
-            pending.clear(chosen[i]);
+            next = pending.nextSetBit(next + 1);
+            chosen[i] = next;
+        }
+        if (count > 0) {
+            pending.clear(0, next + 1);
         }
         return chosen;
     }
--- a/src/main/java/org/weldcourse/admission/CycleDecisions.java
+++ b/src/main/java/org/weldcourse/admission/CycleDecisions.java
@@ -41,12 +41,15 @@
     }
 
     /**
-     * A task to preempt. Preempting one task of a gang stops the whole gang.
+     * A task to preempt, or several tasks of a job that wait on the same machine. Preempting one task of a gang stops the
+     * whole gang.
      *
      * @param job the job's id
-     * @param task the task's index in its job
+     * @param task the task's index in its job, or {@link org.weldcourse.cluster.Snapshot#ANY_WAITING_TASK}
+     * @param machine the name of the machine that the tasks are booked on
+     * @param count the number of tasks
      */
-    public record Preemption(String job, int task) {}
+    public record Preemption(String job, int task, String machine, int count) {}
 
     /**
      * Pending tasks of a job.
--- a/src/main/java/org/weldcourse/admission/FreeCapacity.java
+++ b/src/main/java/org/weldcourse/admission/FreeCapacity.java
@@ -45,7 +45,7 @@
         gpus = machine.type().gpus() - machine.allocation().gpus();
         memoryGb = machine.type().memoryGb() - machine.allocation().memoryGb();
         for (TaskView task : machine.allocation().tasks()) {
-            replicas += task.job().isService() && !task.terminating() ? 1 : 0;
+            replicas += task.job().isService() && !task.terminating() ? task.count() : 0;
             // A task that has overrun its expected end may run much longer, so nothing is booked ahead on it.
             if (task.running() && !task.terminating() && task.expectedToEndBetween(nowMicros, untilMicros)) {
                 cpusFreeSoon += task.job().cpus();
@@ -73,7 +73,7 @@
     int replicasOf(JobSpec job) {
         int replicas = 0;
         for (TaskView task : machine.allocation().tasks()) {
-            replicas += task.job().id().equals(job.id()) ? 1 : 0;
+            replicas += task.job().id().equals(job.id()) ? task.count() : 0;
         }
         return replicas;
     }
--- a/src/main/java/org/weldcourse/admission/MachinePreemption.java
+++ b/src/main/java/org/weldcourse/admission/MachinePreemption.java
@@ -66,13 +66,14 @@
             double cost = baseCost;
             for (int i = 0; i < candidates.size() && bestFits < tasks; i++) {
                 TaskView victim = candidates.get(i);
-                cpus += victim.job().cpus();
-                gpus += victim.job().gpus();
-                memoryGb += victim.job().memoryGb();
+                cpus += victim.job().cpus() * victim.count();
+                gpus += victim.job().gpus() * victim.count();
+                memoryGb += victim.job().memoryGb() * victim.count();
                 cost += victim.terminating()
                         ? 0
                         : (victim.lostWorkMicros(nowMicros) / 1e6 + 1)
-                                * victim.job().cpus();
+                                * victim.job().cpus()
+                                * victim.count();
                 int fits = MachineType.tasksThatFit(spec, cpus, gpus, memoryGb);
                 if (fits > bestFits) {
                     bestFits = fits;
@@ -101,12 +102,12 @@
             boolean ownTeam = task.job().team().equals(job.spec().team());
             boolean lowerPriority = task.job().priority().compareTo(job.spec().priority()) > 0;
             TeamUsage owner = usages.get(task.job().team());
-            boolean borrowed = !ownTeam && owner != null && chosenByTeam.usesGuaranteeWithout(owner, task.job());
+            boolean borrowed = !ownTeam && owner != null && chosenByTeam.usesGuaranteeWithout(owner, task);
             if (task.terminating()
                     || lowerPriority && (ownTeam || borrowed || claimsGuarantee)
                     || claimsGuarantee && borrowed) {
                 candidates.add(task);
-                chosenByTeam.add(owner, task.job());
+                chosenByTeam.add(owner, task);
             }
         }
         return candidates;
--- a/src/main/java/org/weldcourse/admission/QuotaPreemption.java
+++ b/src/main/java/org/weldcourse/admission/QuotaPreemption.java
@@ -38,9 +38,9 @@
             return cpus <= MachineType.EPSILON && gpus <= MachineType.EPSILON;
         }
 
-        void subtract(JobSpec victim) {
-            cpus -= victim.cpus();
-            gpus -= victim.gpus();
+        void subtract(TaskView victim) {
+            cpus -= victim.job().cpus() * victim.count();
+            gpus -= victim.job().gpus() * victim.count();
         }
     }
 
@@ -81,8 +81,8 @@
         for (Candidate victim : teamCandidates) {
             if (!teamShortfall.isCovered() || !cohortShortfall.isCovered()) {
                 chosen.add(victim);
-                teamShortfall.subtract(victim.task.job());
-                cohortShortfall.subtract(victim.task.job());
+                teamShortfall.subtract(victim.task);
+                cohortShortfall.subtract(victim.task);
             }
         }
         chooseBorrowed(chosen);
@@ -98,10 +98,10 @@
             }
             JobSpec spec = victim.task.job();
             TeamUsage borrower = usages.get(spec.team());
-            if (victim.task.terminating() || chosenByTeam.usesGuaranteeWithout(borrower, spec)) {
-                chosenByTeam.add(borrower, spec);
+            if (victim.task.terminating() || chosenByTeam.usesGuaranteeWithout(borrower, victim.task)) {
+                chosenByTeam.add(borrower, victim.task);
                 chosen.add(victim);
-                cohortShortfall.subtract(spec);
+                cohortShortfall.subtract(victim.task);
             }
         }
     }
--- a/src/main/java/org/weldcourse/app/Controller.java
+++ b/src/main/java/org/weldcourse/app/Controller.java
@@ -3,6 +3,7 @@
 import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.weldcourse.cluster.OperationCounter;
 import org.weldcourse.election.LeaderElection;
 import org.weldcourse.fleet.CloudClient;
 import org.weldcourse.fleet.MachineTypeCatalog;
@@ -45,6 +46,7 @@
     private final Optional<QuotaLedger> quotaLedger;
     private final Readiness readiness;
     private final StartCounts startCounts = new StartCounts();
+    private final OperationCounter bookingOperations = new OperationCounter();
     private final LeaderTermDependencies leaderTermDependencies;
     private final HttpRouter router;
     private final StatusLogTask statusLog;
@@ -88,7 +90,8 @@
                 machineTypes,
                 readiness::isStoreOutageShared,
                 recordedQuotas,
-                startCounts);
+                startCounts,
+                bookingOperations);
         JobApi jobs = new JobApi(store, settings, clock, timers, machineTypes::known, submissionQuota(processId));
         this.router = new HttpRouter(
                 jobs, new HeartbeatEndpoint(settings.nodeName(), election, () -> term), readiness, this::metrics);
@@ -151,6 +154,11 @@
         return election.isLeader();
     }
 
+    /** Counts what this process has done with single bookings, in all its terms. */
+    public OperationCounter bookingOperations() {
+        return bookingOperations;
+    }
+
     /** Counts of task starts in all leader terms since the process started. */
     public StartCounts startCounts() {
         return startCounts;
@@ -159,7 +167,7 @@
     /** The metrics of this controller in the Prometheus text format. */
     public String metrics() {
         ControllerMetrics metrics = new ControllerMetrics();
-        metrics.reportProcess(election.isLeader(), startCounts);
+        metrics.reportProcess(election.isLeader(), startCounts, bookingOperations);
         if (term != null) {
             term.reportTo(metrics);
         }
--- a/src/main/java/org/weldcourse/app/ControllerMetrics.java
+++ b/src/main/java/org/weldcourse/app/ControllerMetrics.java
@@ -1,5 +1,6 @@
 package org.weldcourse.app;
 
+import org.weldcourse.cluster.OperationCounter;
 import org.weldcourse.leader.LeaderTermMetrics;
 import org.weldcourse.quota.ResourceAmount;
 import org.weldcourse.workers.StartCounts;
@@ -9,7 +10,7 @@
     private final MetricsText text = new MetricsText();
 
     /** Adds the metrics that exist whether or not this controller is the leader. */
-    void reportProcess(boolean isLeader, StartCounts counts) {
+    void reportProcess(boolean isLeader, StartCounts counts, OperationCounter bookingOperations) {
         text.add("leads", "Whether this controller is the leader, as far as it knows.", isLeader ? 1 : 0);
         text.add("starts_total", "Tasks that workers were told to run.", counts.started());
         text.add(
@@ -32,6 +33,10 @@
                 "limit_violations_total",
                 "Starts refused because a team's bookings exceeded its limit, which indicates a bug.",
                 counts.violations());
+        text.add(
+                "booking_operations_total",
+                "Operations on single bookings; it grows by a bounded number in each event.",
+                bookingOperations.count());
     }
 
     @Override
--- a/src/main/java/org/weldcourse/cluster/Booking.java
+++ b/src/main/java/org/weldcourse/cluster/Booking.java
@@ -9,33 +9,50 @@
  * loop's clock.
  */
 public final class Booking {
+    private static final long NO_STOP_SENT = -1;
+
     private final Job job;
     private final int task;
-    private final TaskId taskId;
-    private final int attempt;
+    private final Admission admission;
     private final Machine machine;
     private final long bookedMicros;
-    private boolean persisted;
-    private String recordKey;
+    private BookingGroup group;
     private boolean reported;
     private boolean startSent;
     private TaskState state;
     private boolean stopRequested;
     private long gracePeriodMicros;
-    private boolean stopSent;
+    /** The grace period of the last stop command, or {@link #NO_STOP_SENT}. */
+    private long sentGracePeriodMicros = NO_STOP_SENT;
+
     private long runningSinceMicros = -1;
     private boolean startObserved;
 
-    /** Creates a booking that is not persisted yet. */
-    Booking(Job job, int task, int attempt, Machine machine, long bookedMicros) {
+    /** Creates a booking; {@link ClusterState} adds it to its job and its machine. */
+    Booking(Job job, int task, Admission admission, Machine machine, long bookedMicros) {
         this.job = job;
         this.task = task;
-        this.taskId = new TaskId(job.spec().id(), task);
-        this.attempt = attempt;
+        this.admission = admission;
         this.machine = machine;
         this.bookedMicros = bookedMicros;
     }
 
+    /** The bookings of the same job on the same machine. */
+    BookingGroup group() {
+        return group;
+    }
+
+    void setGroup(BookingGroup bookings) {
+        group = bookings;
+    }
+
+    BookingGroup.Phase phase() {
+        if (reported || startSent) {
+            return BookingGroup.Phase.PRESENT;
+        }
+        return stopRequested ? BookingGroup.Phase.STOPPED : BookingGroup.Phase.WAITING;
+    }
+
     /** The job that the task belongs to. */
     public Job job() {
         return job;
@@ -48,12 +65,12 @@
 
     /** The id of the task in heartbeats, commands and logs. */
     public TaskId taskId() {
-        return taskId;
+        return new TaskId(job.spec().id(), task);
     }
 
     /** The attempt number, which increases across all tasks of the job. */
     public int attempt() {
-        return attempt;
+        return admission.attempt();
     }
 
     /** The machine that the task is booked on. */
@@ -68,22 +85,27 @@
 
     /** Whether the admission is in the store; until then the task must not start. */
     public boolean isPersisted() {
-        return persisted;
+        return admission.isPersisted();
     }
 
-    /** Records that the admission is in the store. */
+    /** The admission that booked the task. */
+    Admission admission() {
+        return admission;
+    }
+
+    /** Records that the admission, with all tasks that it booked, is in the store. */
     public void markPersisted() {
-        persisted = true;
+        admission.markPersisted();
     }
 
     /** The key of the record that contains the admission, or null if not known yet. */
     public String recordKey() {
-        return recordKey;
+        return job.records().contents().keyOf(this);
     }
 
-    /** Sets the key of the record that contains the admission, when it is first written or moved to another record. */
+    /** Sets the key of the record that contains the admission, as a leader reads it after a failover. */
     public void setRecordKey(String key) {
-        recordKey = key;
+        job.records().contents().add(key, machine.name, attempt(), task);
     }
 
     /** Whether a heartbeat to this leader has listed the task. */
@@ -121,15 +143,19 @@
 
     /** Records that the response to the current heartbeat contains a start command. */
     public void markStartSent() {
+        BookingGroup.Phase before = phase();
         startSent = true;
-        startObserved = job.spec().checkpointIntervalMicros() == 0 || attempt == 1;
+        startObserved = job.spec().checkpointIntervalMicros() == 0 || attempt() == 1;
+        group.moved(this, before);
     }
 
     /**
      * Records that a newer heartbeat does not list the task, so that an earlier start command is no longer in flight.
      */
     public void clearStartSent() {
+        BookingGroup.Phase before = phase();
         startSent = false;
+        group.moved(this, before);
     }
 
     /**
@@ -139,12 +165,15 @@
      */
     public boolean updateState(TaskState newState, long nowMicros) {
         boolean wasRunning = isRunning();
+        BookingGroup.Phase before = phase();
         reported = true;
         startSent = false;
+        group.moved(this, before);
         if (state == newState) {
             return false;
         }
         state = newState;
+        group.runningChanged(this, wasRunning);
         machine.invalidateAllocation();
         if (newState != TaskState.FETCHING_IMAGE) {
             machine.cacheImage(job.spec().image(), job.spec().imageGb());
@@ -158,20 +187,24 @@
 
     /**
      * Whether the task is to be stopped: cancelled by its user, preempted, or on a machine that is about to be
-     * reclaimed.
+     * reclaimed; by a request for this task or for all tasks of its job.
      */
     public boolean isStopRequested() {
-        return stopRequested;
+        return stopRequested || job.isEvicted();
     }
 
     /** The time for saving a checkpoint after the stop command. */
     public long gracePeriodMicros() {
-        return gracePeriodMicros;
+        if (!job.isEvicted()) {
+            return gracePeriodMicros;
+        }
+        long evictionMicros = job.bookings().evictionGraceMicros();
+        return stopRequested && evictionMicros != 0 ? gracePeriodMicros : evictionMicros;
     }
 
-    /** Whether a stop command was sent since the last stop request. */
+    /** Whether a stop command with the current grace period, or with none, was sent. */
     public boolean isStopSent() {
-        return stopSent;
+        return sentGracePeriodMicros == 0 || sentGracePeriodMicros != NO_STOP_SENT && gracePeriodMicros() != 0;
     }
 
     /**
@@ -179,21 +212,22 @@
      * may already run, and its heartbeat may never arrive.
      */
     public boolean needsStopCommand() {
-        return stopRequested && (reported || startSent) && !stopSent;
+        return isStopRequested() && (reported || startSent) && !isStopSent();
     }
 
     /** Records that a stop command was sent. */
     public void markStopSent() {
-        stopSent = true;
+        sentGracePeriodMicros = gracePeriodMicros();
     }
 
     /** Requests a stop. The grace period of an earlier request stays in force, unless the new one is zero. */
     public void requestStop(long newGracePeriodMicros) {
-        if (!stopRequested || newGracePeriodMicros == 0 && gracePeriodMicros != 0) {
+        BookingGroup.Phase before = phase();
+        if (!stopRequested || newGracePeriodMicros == 0) {
             gracePeriodMicros = newGracePeriodMicros;
-            stopSent = false;
         }
         stopRequested = true;
+        group.moved(this, before);
         machine.invalidateAllocation();
         machine.hasUnsentCommands = true;
     }
--- a/src/main/java/org/weldcourse/cluster/ClusterState.java
+++ b/src/main/java/org/weldcourse/cluster/ClusterState.java
@@ -1,12 +1,14 @@
 package org.weldcourse.cluster;
 
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.weldcourse.quota.ResourceAmount;
@@ -47,9 +49,23 @@
     public final QuotaUsage quotaUsage = new QuotaUsage();
     /** Closed jobs that still have booked tasks. */
     public final Map<String, Job> outstandingJobs = new HashMap<>();
+
+    private final OperationCounter operations;
+    private final PendingBookingChanges pendingChanges = new PendingBookingChanges();
+    private Runnable onPendingChanges = () -> {};
     /** Reported tasks whose job is not known. */
     private int tasksOfUnknownJobs;
 
+    /** Creates the state of a term. */
+    public ClusterState() {
+        this(new OperationCounter());
+    }
+
+    /** Creates the state of a term that counts the operations on single bookings. */
+    public ClusterState(OperationCounter operations) {
+        this.operations = operations;
+    }
+
     /** The number of reported tasks whose job is not known, so that they cannot be charged to a team. */
     public int tasksOfUnknownJobs() {
         return tasksOfUnknownJobs;
@@ -81,20 +97,29 @@
         return machines.computeIfAbsent(name, unknown -> new Machine(unknown, nowMicros));
     }
 
-    /** Books a task on a machine under a new attempt. */
+    /** Books a task on a machine under an attempt number, with an admission of its own. */
     public Booking book(Job job, int task, int attempt, Machine machine, long nowMicros) {
-        Booking booking = new Booking(job, task, attempt, machine, nowMicros);
-        job.addBooking(booking);
-        Booking earlier = machine.bookings.put(booking.taskId(), booking);
+        return book(job, task, new Admission(job, attempt), machine, nowMicros);
+    }
+
+    /** Books a task on a machine. */
+    Booking book(Job job, int task, Admission admission, Machine machine, long nowMicros) {
+        Booking booking = new Booking(job, task, admission, machine, nowMicros);
+        Booking earlier = machine.bookings.get(booking.taskId());
         if (earlier != null) {
             // The earlier attempt's quota stays charged: nothing shows that its task is gone.
             LOG.error(
                     "{} attempt {} replaces the booking of attempt {} on {}",
                     booking.taskId(),
-                    attempt,
+                    booking.attempt(),
                     earlier.attempt(),
                     machine.name);
+            keepOnRecord(earlier);
+            machine.bookings.remove(earlier);
         }
+        booking.setGroup(machine.bookings.add(booking, operations));
+        job.addBooking(booking);
+        admission.booked(booking);
         quotaUsage.addBooked(job.spec());
         machine.invalidateAllocation();
         return booking;
@@ -102,17 +127,19 @@
 
     /** Removes a booking from its machine and its job without requeuing the task. */
     public void discard(Booking booking) {
-        booking.job().removeBooking(booking.task());
         keepOnRecord(booking);
-        if (booking.machine().bookings.remove(booking.taskId(), booking)) {
+        if (booking.machine().bookings.remove(booking)) {
             quotaUsage.removeBooked(booking.job().spec());
             booking.machine().invalidateAllocation();
         }
+        booking.job().removeBooking(booking);
     }
 
     private static void keepOnRecord(Booking booking) {
-        if (booking.recordKey() != null) {
-            booking.job().releasedTasks().add(booking.recordKey(), booking.task());
+        booking.admission().released(booking);
+        String recordKey = booking.recordKey();
+        if (recordKey != null) {
+            booking.job().releasedTasks().add(recordKey, booking.task());
         }
     }
 
@@ -123,20 +150,25 @@
     public void release(Booking booking, ReleaseReason reason, long nowMicros) {
         Machine machine = booking.machine();
         Job job = booking.job();
-        if (machine.bookings.remove(booking.taskId(), booking)) {
+        boolean isCurrent = job.booking(booking.task()) == booking;
+        keepOnRecord(booking);
+        if (machine.bookings.remove(booking)) {
             quotaUsage.removeBooked(job.spec());
             machine.invalidateAllocation();
-            LOG.debug("{} attempt {} released from {}: {}", booking.taskId(), booking.attempt(), machine.name, reason);
+            if (LOG.isDebugEnabled()) {
+                LOG.debug(
+                        "{} attempt {} released from {}: {}",
+                        booking.taskId(),
+                        booking.attempt(),
+                        machine.name,
+                        reason);
+            }
         }
-        keepOnRecord(booking);
         if (machine.bookings.isEmpty()) {
             machine.idleSinceMicros = nowMicros;
         }
-        if (job.booking(booking.task()) != booking) {
-            return;
-        }
-        job.removeBooking(booking.task());
-        if (!job.isDone(booking.task())) {
+        job.removeBooking(booking);
+        if (isCurrent && !job.isDone(booking.task())) {
             job.requeue(booking.task());
             if (job.spec().isGang()) {
                 evict(job, job.spec().checkpointSaveMicros());
@@ -144,11 +176,49 @@
         }
     }
 
+    /**
+     * Releases bookings like {@link #release}: as many as one event may, and the rest in calls of {@link
+     * #makePendingChanges}. Until then the rest counts as booked.
+     *
+     * @param bookings the bookings, which are asked for one by one, each when it is to be released
+     * @param whenReleased called after the last one
+     */
+    public void releaseInParts(
+            Iterator<Booking> bookings, ReleaseReason reason, Runnable whenReleased, LongSupplier nowMicros) {
+        changeInParts(bookings, booking -> release(booking, reason, nowMicros.getAsLong()), whenReleased);
+    }
+
+    /** Requests the stop of bookings in parts, like {@link #releaseInParts}. */
+    public void stopInParts(Iterator<Booking> bookings, long graceMicros, Runnable whenRequested) {
+        changeInParts(bookings, booking -> booking.requestStop(graceMicros), whenRequested);
+    }
+
+    private void changeInParts(Iterator<Booking> bookings, Consumer<Booking> change, Runnable whenChanged) {
+        pendingChanges.make(bookings, change, whenChanged);
+        if (!pendingChanges.isEmpty()) {
+            onPendingChanges.run();
+        }
+    }
+
+    /** Whether changes are left to be made by {@link #makePendingChanges}. */
+    public boolean hasPendingChanges() {
+        return !pendingChanges.isEmpty();
+    }
+
+    /** Makes the next part of the changes that are left; returns whether more are left. */
+    public boolean makePendingChanges() {
+        pendingChanges.makePart();
+        return !pendingChanges.isEmpty();
+    }
+
+    /** Sets what is called while changes are left to be made by {@link #makePendingChanges}. */
+    public void onPendingChanges(Runnable listener) {
+        onPendingChanges = listener;
+    }
+
     /** Requests a stop of all booked tasks of a job. */
     public void evict(Job job, long graceMicros) {
-        for (Booking booking : job.bookings()) {
-            booking.requestStop(graceMicros);
-        }
+        job.bookings().evict(graceMicros);
     }
 
     /** Processes the exit of a task on its machine, and releases its booking. */
@@ -274,11 +344,27 @@
 
     /** Removes a machine whose deletion the cloud has confirmed, and releases its bookings. */
     public void removeMachine(Machine machine, long nowMicros) {
-        machines.remove(machine.name);
-        machine.presentTasks.forEach(task -> machineByPresentTask.remove(task, machine));
-        clearUnbookedTasks(machine);
-        for (Booking booking : new ArrayList<>(machine.bookings.values())) {
-            release(booking, ReleaseReason.MACHINE_SCALED_IN, nowMicros);
+        removeMachines(List.of(machine), nowMicros);
+    }
+
+    /** Removes machines whose deletion the cloud has confirmed, and releases their bookings in parts. */
+    public void removeMachines(List<Machine> removed, long nowMicros) {
+        for (Machine machine : removed) {
+            machines.remove(machine.name);
+            machine.presentTasks.forEach(task -> machineByPresentTask.remove(task, machine));
+            clearUnbookedTasks(machine);
+            evictGangsOn(machine);
+        }
+        Iterator<Machine> rest = removed.iterator();
+        releaseInParts(new BookingsOfMachines(rest), ReleaseReason.MACHINE_SCALED_IN, () -> {}, () -> nowMicros);
+    }
+
+    /** Evicts the gangs that have lost a machine, without waiting until their bookings there are released. */
+    private void evictGangsOn(Machine machine) {
+        for (BookingGroup group : machine.bookings.groups()) {
+            if (group.spec().isGang() && !group.job().allDone()) {
+                evict(group.job(), group.spec().checkpointSaveMicros());
+            }
         }
     }
 }
--- a/src/main/java/org/weldcourse/cluster/Job.java
+++ b/src/main/java/org/weldcourse/cluster/Job.java
@@ -1,11 +1,9 @@
 package org.weldcourse.cluster;
 
-import java.util.ArrayList;
 import java.util.BitSet;
-import java.util.Collection;
-import java.util.List;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.Set;
-import org.agrona.collections.Int2ObjectHashMap;
 import org.weldcourse.jobs.JobSpec;
 
 /**
@@ -30,9 +28,9 @@
     /** Tasks that are neither finished nor booked. */
     private final BitSet pending = new BitSet();
 
-    private final Int2ObjectHashMap<Booking> bookings = new Int2ObjectHashMap<>();
-    /** The machines that report tasks of the job without a booking, once for each task. */
-    private final List<Machine> machinesOfUnbookedTasks = new ArrayList<>();
+    private final TaskBookings bookings = new TaskBookings();
+    /** The number of tasks that machines report without a booking, by machine. */
+    private final Map<Machine, Integer> unbookedTasksByMachine = new HashMap<>();
 
     private long doneSinceMicros = NEVER;
     private boolean cancelled;
@@ -41,6 +39,7 @@
     private boolean closed;
     private boolean outstandingPersisted;
     private boolean stale;
+    private boolean admissionUnderWay;
 
     /**
      * Creates an accepted job without booked or finished tasks; {@code modRevision} is the revision of its job record.
@@ -81,16 +80,13 @@
      */
     public int releasedTaskCount() {
         int leaving = releasedTasks.leavingTasks();
-        int replaced = leaving == 0 ? 0 : (int) Math.min(leaving, countBookingsNotOnRecord());
+        int replaced = leaving == 0 ? 0 : Math.min(leaving, countBookingsNotOnRecord());
         return Math.max(0, releasedTaskCountAfterWriteOf(Set.of(), false) - replaced);
     }
 
     /** A task that is booked again while a record still contains it is on record before and after the write. */
-    private long countBookingsNotOnRecord() {
-        BitSet onRecord = releasedTasks.tasksOutside(Set.of());
-        return bookings.values().stream()
-                .filter(booking -> !booking.isPersisted() && !onRecord.get(booking.task()))
-                .count();
+    private int countBookingsNotOnRecord() {
+        return bookings.unpersistedCountWithout(releasedTasks.tasksOutside(Set.of()));
     }
 
     /**
@@ -115,7 +111,7 @@
     private BitSet finishedOrBooked(boolean savesFinished) {
         BitSet tasks = (BitSet) (savesFinished ? done : persistedDone).clone();
         tasks.or(doneOnlyInAdmissions);
-        bookings.values().forEach(booking -> tasks.set(booking.task()));
+        bookings.addTo(tasks);
         return tasks;
     }
 
@@ -167,18 +163,19 @@
     }
 
     /**
-     * Marks a task as finished because a record says so.
+     * Marks the tasks from {@code first} (inclusive) to {@code end} (exclusive) as finished because a record says so.
      *
-     * @param staysOnRecord whether the next write of that record will still contain it
+     * @param staysOnRecord whether the next write of that record will still contain them
      */
-    public void restoreDone(int task, boolean staysOnRecord) {
-        markDone(task);
+    public void restoreDone(int first, int end, boolean staysOnRecord) {
+        done.set(first, end);
+        pending.clear(first, end);
         if (staysOnRecord) {
-            persistedDone.set(task);
-            doneOnlyInAdmissions.clear(task);
-        } else if (!persistedDone.get(task)) {
-            doneOnlyInAdmissions.set(task);
+            persistedDone.set(first, end);
+        } else {
+            doneOnlyInAdmissions.set(first, end);
         }
+        doneOnlyInAdmissions.andNot(persistedDone);
     }
 
     /** Marks finished tasks as persisted, so that their workers may be told to forget them. */
@@ -217,8 +214,8 @@
     // Bookings
 
     /** A live view of the job's bookings. Only {@link ClusterState} adds and removes bookings. */
-    public Collection<Booking> bookings() {
-        return bookings.values();
+    public TaskBookings bookings() {
+        return bookings;
     }
 
     /** The booking of the task, or null. */
@@ -228,9 +225,11 @@
 
     /** The zones of all tasks that are or may be on machines, with a booking or without. */
     public ZoneCounts zoneCounts() {
-        List<Machine> machines = new ArrayList<>(machinesOfUnbookedTasks);
-        bookings.values().forEach(booking -> machines.add(booking.machine()));
-        return ZoneCounts.ofTasksOn(machines);
+        Map<Machine, Integer> tasksByMachine = new HashMap<>(unbookedTasksByMachine);
+        for (BookingGroup group : bookings.groups()) {
+            tasksByMachine.merge(group.machine(), group.size(), Integer::sum);
+        }
+        return ZoneCounts.ofTasksOn(tasksByMachine);
     }
 
     /** The highest attempt number assigned so far. */
@@ -245,12 +244,17 @@
 
     void addBooking(Booking booking) {
         pending.clear(booking.task());
-        bookings.put(booking.task(), booking);
+        bookings.add(booking);
         recordAttempt(booking.attempt());
     }
 
-    void removeBooking(int task) {
-        bookings.remove(task);
+    void removeBooking(Booking booking) {
+        bookings.remove(booking);
+    }
+
+    /** Whether the stop of all booked tasks was requested. */
+    public boolean isEvicted() {
+        return bookings.isEvicted();
     }
 
     /** Returns a task to the pending tasks. */
@@ -270,16 +274,16 @@
 
     /** Adds a task that the machine reports without a booking. */
     void addUnbookedTask(Machine machine) {
-        machinesOfUnbookedTasks.add(machine);
+        unbookedTasksByMachine.merge(machine, 1, Integer::sum);
     }
 
     void removeUnbookedTask(Machine machine) {
-        machinesOfUnbookedTasks.remove(machine);
+        unbookedTasksByMachine.computeIfPresent(machine, (same, tasks) -> tasks == 1 ? null : tasks - 1);
     }
 
     /** Whether machines report tasks of the job without a booking. */
     public boolean hasUnbookedTasks() {
-        return !machinesOfUnbookedTasks.isEmpty();
+        return !unbookedTasksByMachine.isEmpty();
     }
 
     /** Whether some tasks may still be on machines. */
@@ -293,6 +297,7 @@
      */
     public boolean canBeBooked(long nowMicros) {
         return !cancelled
+                && !admissionUnderWay
                 && !records.isWriteInFlight()
                 && !closing
                 && !closed
@@ -304,6 +309,21 @@
                 && !(spec.isGang() && spec.hasZoneConstraint() && hasUnbookedTasks());
     }
 
+    /** Whether an admission is being booked or written, or its bookings are being released again. */
+    public boolean isAdmissionUnderWay() {
+        return admissionUnderWay;
+    }
+
+    /** Marks the booking of an admission as begun. */
+    void beginAdmission() {
+        admissionUnderWay = true;
+    }
+
+    /** Marks the admission as persisted, or as released again after it was not written. */
+    void endAdmission() {
+        admissionUnderWay = false;
+    }
+
     /** How the runs of the job's tasks ended. */
     public RunHistory runHistory() {
         return runHistory;
--- a/src/main/java/org/weldcourse/cluster/JobRecords.java
+++ b/src/main/java/org/weldcourse/cluster/JobRecords.java
@@ -9,6 +9,7 @@
 /** A job's records in the store with their mod revisions, and the state of the write that is in flight. */
 public final class JobRecords {
     private final Map<String, Long> revisions = new TreeMap<>();
+    private final RecordContents contents = new RecordContents();
     private long jobRevision;
     private int lastWriteNumber;
     private boolean writeInFlight;
@@ -33,6 +34,11 @@
         return Collections.unmodifiableSet(revisions.keySet());
     }
 
+    /** The admitted tasks that the records contain. */
+    public RecordContents contents() {
+        return contents;
+    }
+
     /** Whether a record with this key exists. */
     public boolean contains(String key) {
         return revisions.containsKey(key);
--- a/src/main/java/org/weldcourse/cluster/Machine.java
+++ b/src/main/java/org/weldcourse/cluster/Machine.java
@@ -1,15 +1,12 @@
 package org.weldcourse.cluster;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
 import org.weldcourse.fleet.MachineType;
-import org.weldcourse.jobs.JobSpec;
 import org.weldcourse.workers.Heartbeat;
 import org.weldcourse.workers.TaskId;
 import org.weldcourse.workers.TaskStatus;
@@ -63,7 +60,7 @@
     /** When the first heartbeat arrived, or -1. */
     public long firstHeartbeatMicros = -1;
     /** The tasks booked on this machine. */
-    public final Map<TaskId, Booking> bookings = new HashMap<>();
+    public final MachineBookings bookings = new MachineBookings();
     /** Tasks that the last heartbeat listed without a booking; they count as usage until they exit. */
     public final List<TaskStatus> unbookedTasks = new ArrayList<>();
 
@@ -78,6 +75,8 @@
     public final List<TaskStatus> exitedTasks = new ArrayList<>();
     /** Whether there may be commands that should not wait for the next heartbeat. */
     public boolean hasUnsentCommands;
+    /** Whether bookings that are no longer wanted here are being released, in parts. */
+    public boolean releasingUnwanted;
     /** Whether the response to the last heartbeat is held back until the open jobs were read. */
     public boolean heartbeatResponsePending;
     /** Whether a direct command request is in flight; the next one waits for its response. */
@@ -104,25 +103,7 @@
     /** The resources taken by bookings. It is cached because most machines do not change from one cycle to the next. */
     public Snapshot.Allocation allocation(RunTimeEstimator runTimes) {
         if (allocation == null) {
-            double cpus = 0;
-            double gpus = 0;
-            double memoryGb = 0;
-            Set<String> held = new HashSet<>(images.keySet());
-            List<Snapshot.TaskView> tasks = new ArrayList<>(bookings.size());
-            for (Booking booking : bookings.values()) {
-                JobSpec spec = booking.job().spec();
-                cpus += spec.cpus();
-                gpus += spec.gpus();
-                memoryGb += spec.memoryGb();
-                held.add(spec.image());
-                tasks.add(new Snapshot.TaskView(
-                        spec,
-                        booking.task(),
-                        booking.isStopRequested(),
-                        booking.isRunning() ? booking.runningSinceMicros() : Snapshot.NOT_RUNNING,
-                        runTimes.expectedMicros(booking.job())));
-            }
-            allocation = new Snapshot.Allocation(cpus, gpus, memoryGb, held, tasks);
+            allocation = AllocationBuilder.allocation(bookings.groups(), images.keySet(), runTimes);
         }
         return allocation;
     }
--- a/src/main/java/org/weldcourse/cluster/ReleasedTasks.java
+++ b/src/main/java/org/weldcourse/cluster/ReleasedTasks.java
@@ -16,7 +16,12 @@
 
     /** Adds a task that the record with this key contains. */
     public void add(String recordKey, int task) {
-        tasksByKey.computeIfAbsent(recordKey, key -> new BitSet()).set(task);
+        add(recordKey, task, task);
+    }
+
+    /** Adds the tasks from {@code first} to {@code last}, both inclusive. */
+    public void add(String recordKey, int first, int last) {
+        tasksByKey.computeIfAbsent(recordKey, key -> new BitSet()).set(first, last + 1);
     }
 
     /** Whether no record contains a released task. */
--- a/src/main/java/org/weldcourse/cluster/RunTimeEstimator.java
+++ b/src/main/java/org/weldcourse/cluster/RunTimeEstimator.java
@@ -56,4 +56,14 @@
         long ranMicros = booking.isRunning() ? nowMicros - booking.runningSinceMicros() : 0;
         return Math.max(expectedMicros / 4, expectedMicros - ranMicros);
     }
+
+    /** The sum of the expected remaining run times of a job's tasks on one machine. */
+    public double remainingMicros(BookingGroup group, long nowMicros) {
+        int notStarted = group.waitingCount() + group.stoppedCount();
+        double remainingMicros = (double) expectedMicros(group.job()) * notStarted;
+        for (Booking booking : group.present()) {
+            remainingMicros += remainingMicros(booking, nowMicros);
+        }
+        return remainingMicros;
+    }
 }
--- a/src/main/java/org/weldcourse/cluster/Snapshot.java
+++ b/src/main/java/org/weldcourse/cluster/Snapshot.java
@@ -18,6 +18,8 @@
  */
 public record Snapshot(long nowMicros, List<MachineView> machines, List<JobView> jobs, List<TeamView> teams) {
     static final long NOT_RUNNING = -1;
+    /** The task index of a view that stands for several tasks, none of which was told to start. */
+    public static final int ANY_WAITING_TASK = -1;
 
     /**
      * The resources and images that a machine's bookings use.
@@ -64,15 +66,21 @@
             Allocation allocation) {}
 
     /**
-     * A booked task.
+     * A booked task, or several tasks of a job that wait on the same machine and are alike.
      *
-     * @param task the index of the task in its job
+     * @param task the index of the task in its job, or {@link Snapshot#ANY_WAITING_TASK}
+     * @param count the number of tasks
      * @param terminating whether a stop was requested
      * @param runningSinceMicros when the task was first reported as running, or {@link Snapshot#NOT_RUNNING}
      * @param expectedRunMicros the expected total run time
      */
     public record TaskView(
-            JobSpec job, int task, boolean terminating, long runningSinceMicros, long expectedRunMicros) {
+            JobSpec job, int task, int count, boolean terminating, long runningSinceMicros, long expectedRunMicros) {
+        /** Creates the view of one task. */
+        public TaskView(JobSpec job, int task, boolean terminating, long runningSinceMicros, long expectedRunMicros) {
+            this(job, task, 1, terminating, runningSinceMicros, expectedRunMicros);
+        }
+
         /** Whether the task is reported as running. */
         public boolean running() {
             return runningSinceMicros != NOT_RUNNING;
--- a/src/main/java/org/weldcourse/cluster/ZoneCounts.java
+++ b/src/main/java/org/weldcourse/cluster/ZoneCounts.java
@@ -2,7 +2,6 @@
 
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 
 /**
@@ -21,15 +20,16 @@
         known = Collections.unmodifiableMap(new HashMap<>(known));
     }
 
-    /** Counts one task for each of the machines. */
-    static ZoneCounts ofTasksOn(List<Machine> machines) {
+    /** Adds up the numbers of tasks on the machines. */
+    static ZoneCounts ofTasksOn(Map<Machine, Integer> tasksByMachine) {
         Map<String, Integer> known = new HashMap<>();
         int unknown = 0;
-        for (Machine machine : machines) {
-            if (machine.zone == null) {
-                unknown++;
+        for (Map.Entry<Machine, Integer> entry : tasksByMachine.entrySet()) {
+            String zone = entry.getKey().zone;
+            if (zone == null) {
+                unknown += entry.getValue();
             } else {
-                known.merge(machine.zone, 1, Integer::sum);
+                known.merge(zone, entry.getValue(), Integer::sum);
             }
         }
         return new ZoneCounts(known, unknown);
--- a/src/main/java/org/weldcourse/fleet/CostBreakdown.java
+++ b/src/main/java/org/weldcourse/fleet/CostBreakdown.java
@@ -2,7 +2,7 @@
 
 import java.util.Collection;
 import java.util.Locale;
-import org.weldcourse.cluster.Booking;
+import org.weldcourse.cluster.BookingGroup;
 import org.weldcourse.cluster.Machine;
 
 /** Machine costs during a term, by what the machines did, in the cloud's currency. */
@@ -30,13 +30,10 @@
             }
             double runningShare = 0;
             double preparingShare = 0;
-            for (Booking booking : machine.bookings.values()) {
-                double share = booking.job().spec().cpus() / machine.type.cpus();
-                if (booking.isRunning()) {
-                    runningShare += share;
-                } else {
-                    preparingShare += share;
-                }
+            for (BookingGroup group : machine.bookings.groups()) {
+                double share = group.spec().cpus() / machine.type.cpus();
+                runningShare += share * group.runningCount();
+                preparingShare += share * (group.size() - group.runningCount());
             }
             runningShare = Math.min(1, runningShare);
             preparingShare = Math.min(1 - runningShare, preparingShare);
--- a/src/main/java/org/weldcourse/fleet/MachineInventory.java
+++ b/src/main/java/org/weldcourse/fleet/MachineInventory.java
@@ -1,5 +1,6 @@
 package org.weldcourse.fleet;
 
+import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -102,12 +103,14 @@
 
     /** Records machines whose deletion is confirmed; no task runs on them any more. */
     void recordDeleted(List<String> machines) {
+        List<Machine> removed = new ArrayList<>();
         for (String name : machines) {
             Machine machine = cluster.machines.get(name);
             if (machine != null) {
                 deleted.add(name);
-                cluster.removeMachine(machine, clock.nowMicros());
+                removed.add(machine);
             }
         }
+        cluster.removeMachines(removed, clock.nowMicros());
     }
 }
--- a/src/main/java/org/weldcourse/fleet/ScaleInPolicy.java
+++ b/src/main/java/org/weldcourse/fleet/ScaleInPolicy.java
@@ -99,8 +99,7 @@
     }
 
     private static boolean holdsReplicas(Machine machine) {
-        return machine.bookings.values().stream()
-                .anyMatch(booking -> booking.job().spec().isService());
+        return machine.bookings.groups().stream().anyMatch(group -> group.spec().isService());
     }
 
     /**
--- a/src/main/java/org/weldcourse/fleet/ScaleOut.java
+++ b/src/main/java/org/weldcourse/fleet/ScaleOut.java
@@ -8,7 +8,7 @@
 import java.util.Queue;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.weldcourse.cluster.Booking;
+import org.weldcourse.cluster.BookingGroup;
 import org.weldcourse.cluster.ClusterState;
 import org.weldcourse.cluster.Machine;
 import org.weldcourse.runtime.Clock;
@@ -155,12 +155,12 @@
                 : nowMicros;
         double remainingCpuMicros = 0;
         double serviceCpus = 0;
-        for (Booking booking : machine.bookings.values()) {
-            if (booking.job().spec().isService()) {
-                serviceCpus += booking.job().spec().cpus();
+        for (BookingGroup group : machine.bookings.groups()) {
+            if (group.spec().isService()) {
+                serviceCpus += group.spec().cpus() * group.size();
             } else {
-                remainingCpuMicros += cluster.runTimes.remainingMicros(booking, nowMicros)
-                        * booking.job().spec().cpus();
+                remainingCpuMicros += cluster.runTimes.remainingMicros(group, nowMicros)
+                        * group.spec().cpus();
             }
         }
         return new HostCapacity(
--- a/src/main/java/org/weldcourse/fleet/WarmPools.java
+++ b/src/main/java/org/weldcourse/fleet/WarmPools.java
@@ -4,7 +4,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import org.weldcourse.cluster.Booking;
+import org.weldcourse.cluster.BookingGroup;
 import org.weldcourse.cluster.ClusterState;
 import org.weldcourse.cluster.Machine;
 import org.weldcourse.jobs.JobSpec;
@@ -79,9 +79,8 @@
                     usableCpus.merge(entry.getKey(), machine.type.cpus(), Double::sum);
                 }
             }
-            for (Booking booking : machine.bookings.values()) {
-                usedCpus.merge(
-                        booking.job().spec().jobClass(), booking.job().spec().cpus(), Double::sum);
+            for (BookingGroup group : machine.bookings.groups()) {
+                usedCpus.merge(group.spec().jobClass(), group.spec().cpus() * group.size(), Double::sum);
             }
         }
         pools.forEach((jobClass, pool) -> {
@@ -162,9 +161,9 @@
             return false;
         }
         double cpus = machine.type.cpus();
-        for (Booking booking : machine.bookings.values()) {
-            if (booking.job().spec().priority().compareTo(job.priority()) <= 0) {
-                cpus -= booking.job().spec().cpus();
+        for (BookingGroup group : machine.bookings.groups()) {
+            if (group.spec().priority().compareTo(job.priority()) <= 0) {
+                cpus -= group.spec().cpus() * group.size();
             }
         }
         return cpus + MachineType.EPSILON >= job.cpus();
--- a/src/main/java/org/weldcourse/leader/AdmissionCycle.java
+++ b/src/main/java/org/weldcourse/leader/AdmissionCycle.java
@@ -1,19 +1,18 @@
 package org.weldcourse.leader;
 
 import java.util.List;
-import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.weldcourse.admission.CapacityDemandEstimator;
 import org.weldcourse.admission.CycleDecisions;
 import org.weldcourse.admission.Planner;
 import org.weldcourse.admission.SnapshotBuilder;
-import org.weldcourse.cluster.AttemptBookings;
 import org.weldcourse.cluster.Booking;
+import org.weldcourse.cluster.BookingGroup;
 import org.weldcourse.cluster.ClusterState;
 import org.weldcourse.cluster.Job;
 import org.weldcourse.cluster.Machine;
-import org.weldcourse.cluster.ReleaseReason;
+import org.weldcourse.cluster.Snapshot;
 import org.weldcourse.fleet.Autoscaler;
 import org.weldcourse.persistence.RecordWriter;
 import org.weldcourse.quota.enforcement.QuotaEnforcement;
@@ -58,7 +57,10 @@
     private final DirectCommands directCommands;
     private final int maxTasksPerAdmission;
 
+    private final AdmissionWriter admissions;
+
     private long nextStatusMicros;
+    private long nextDutiesMicros;
     private long earliestCycleMicros;
     private int tasksWaitingForQuota;
 
@@ -92,6 +94,7 @@
                 dependencies.httpClient(),
                 fencingToken,
                 dependencies.settings().workerCommandSockets());
+        this.admissions = new AdmissionWriter(cluster, recordWriter, dependencies.clock(), this::wakeForEvent);
         this.maxTasksPerAdmission =
                 RecordWriter.maxTasksPerAdmission(dependencies.settings().storeLimits());
     }
@@ -115,11 +118,19 @@
             return -1;
         }
         long nowMicros = clock.nowMicros();
+        if (admissions.isBooking()) {
+            // Nothing is planned before all admissions of the last cycle are booked.
+            admissions.bookPart();
+            if (nowMicros < nextDutiesMicros) {
+                return 0;
+            }
+        }
+        nextDutiesMicros = nowMicros + MAX_CYCLE_INTERVAL_MICROS;
         jobCompletion.processAll(nowMicros);
         for (Machine machine : cluster.machines.values()) {
             taskEviction.evictBeforeReclaim(machine, nowMicros);
         }
-        if (dependencies.election().isLeaseValid()) {
+        if (!admissions.isBooking() && dependencies.election().isLeaseValid()) {
             quotas.bookingsOverQuota().forEach(taskEviction::evict);
             admitPending(nowMicros);
         }
@@ -131,7 +142,7 @@
         earliestCycleMicros =
                 clock.nowMicros() + PAUSE_PER_ITEM_MICROS * (cluster.machines.size() + cluster.jobs.size());
         logStatus(nowMicros);
-        return MAX_CYCLE_INTERVAL_MICROS;
+        return admissions.isBooking() ? 0 : MAX_CYCLE_INTERVAL_MICROS;
     }
 
     private void admitPending(long nowMicros) {
@@ -140,49 +151,45 @@
                 new Planner.CycleLimits(maxTasksPerAdmission, recordWriter.maxAdmissions(), (long)
                         (dependencies.settings().workers().heartbeatIntervalMicros() * LOOKAHEAD_HEARTBEATS)));
         decisions.preemptions().forEach(this::preempt);
-        for (CycleDecisions.Admission admission : decisions.admissions()) {
-            admit(cluster.jobs.get(admission.job()), admission.tasks(), nowMicros);
-        }
+        admissions.begin(decisions.admissions(), () -> finishCycle(decisions));
+    }
+
+    /** Ends a cycle once its admissions are booked: what is left over rests on all of them. */
+    private void finishCycle(CycleDecisions decisions) {
         countAndLogPending(decisions.pending());
         autoscaler.updateDemand(demandEstimator.demand(decisions.pending()), decisions.reservedMachines());
-        quotas.cycleEnded(decisions.pending(), nowMicros);
+        quotas.cycleEnded(decisions.pending(), clock.nowMicros());
         releasedTaskCleanup.run(decisions.pending());
     }
 
     private void preempt(CycleDecisions.Preemption preemption) {
         Job job = cluster.jobs.get(preemption.job());
-        Booking booking = job == null ? null : job.booking(preemption.task());
+        if (job == null) {
+            return;
+        }
+        if (preemption.task() == Snapshot.ANY_WAITING_TASK) {
+            preemptWaiting(job, preemption);
+            return;
+        }
+        Booking booking = job.booking(preemption.task());
         if (booking != null && !booking.isStopRequested()) {
             LOG.debug("{} attempt {} is preempted on {}", booking.taskId(), booking.attempt(), booking.machine().name);
             taskEviction.evict(booking);
         }
     }
 
-    /** Books the tasks immediately and writes the admission record; a failed write releases the bookings. */
-    private void admit(Job job, Map<String, int[]> tasksByMachine, long nowMicros) {
-        if (job.spec().hasZoneConstraint()) {
-            LOG.debug("{} has tasks in {} before this admission", job.spec().id(), job.zoneCounts());
-        }
-        int attempt = job.lastAttempt() + 1;
-        List<Booking> booked = AttemptBookings.book(cluster, job, attempt, tasksByMachine, nowMicros);
-        recordWriter.admit(job, attempt, booked, persisted -> {
-            if (persisted) {
+    private void preemptWaiting(Job job, CycleDecisions.Preemption preemption) {
+        for (BookingGroup group : job.bookings().groups()) {
+            if (group.machine().name.equals(preemption.machine())) {
                 LOG.debug(
-                        "{} attempt {}: {} tasks admitted on {}",
-                        job.spec().id(),
-                        attempt,
-                        booked.size(),
-                        tasksByMachine.keySet());
-                booked.forEach(booking -> {
-                    booking.markPersisted();
-                    booking.machine().hasUnsentCommands = true;
-                });
-                wakeForEvent();
-            } else {
-                // No cycle at once: it would decide the same before the job or the quota is read again.
-                booked.forEach(booking -> cluster.release(booking, ReleaseReason.ADMISSION_REFUSED, clock.nowMicros()));
+                        "{}: {} waiting tasks are preempted on {}",
+                        preemption.job(),
+                        preemption.count(),
+                        preemption.machine());
+                taskEviction.evictWaiting(group, preemption.count());
+                return;
             }
-        });
+        }
     }
 
     private void countAndLogPending(List<CycleDecisions.PendingTasks> pending) {
--- a/src/main/java/org/weldcourse/leader/LeaderStatusLine.java
+++ b/src/main/java/org/weldcourse/leader/LeaderStatusLine.java
@@ -1,6 +1,5 @@
 package org.weldcourse.leader;
 
-import org.weldcourse.cluster.Booking;
 import org.weldcourse.cluster.ClusterState;
 import org.weldcourse.cluster.Job;
 import org.weldcourse.cluster.Machine;
@@ -41,8 +40,7 @@
             booked += job.bookings().size();
             if (job.spec().isService() && !job.isCancelled()) {
                 replicas += job.spec().tasks();
-                replicasRunning +=
-                        (int) job.bookings().stream().filter(Booking::isRunning).count();
+                replicasRunning += job.bookings().runningCount();
                 replicasWaiting += job.pendingCount();
             }
         }
--- a/src/main/java/org/weldcourse/leader/LeaderTerm.java
+++ b/src/main/java/org/weldcourse/leader/LeaderTerm.java
@@ -29,7 +29,7 @@
 public final class LeaderTerm {
     private final LeaderTermDependencies dependencies;
     private final long fencingToken;
-    private final ClusterState cluster = new ClusterState();
+    private final ClusterState cluster;
     private final RecoveryProgress recovery;
     private final RecordWriter recordWriter;
     private final RecordReader recordReader;
@@ -37,6 +37,7 @@
     private final Autoscaler autoscaler;
     private final AdmissionCycle cycle;
     private final HeartbeatHandler heartbeats;
+    private final BookingChangesTask bookingChanges;
 
     /**
      * Creates the term of the leader that was elected under this fencing token.
@@ -47,6 +48,7 @@
     public LeaderTerm(LeaderTermDependencies dependencies, long fencingToken, long fencingTokenRevision) {
         this.dependencies = dependencies;
         this.fencingToken = fencingToken;
+        this.cluster = new ClusterState(dependencies.bookingOperations());
         this.recovery = new RecoveryProgress(fencingToken, cluster, dependencies.clock());
         this.recordWriter = newRecordWriter(fencingTokenRevision);
         this.quotas = dependencies
@@ -73,6 +75,8 @@
                 cluster, fencingToken, dependencies.settings().workers().leaseMicros(), startAuthorization);
         this.cycle = new AdmissionCycle(
                 dependencies, fencingToken, recovery, cluster, quotas, recordWriter, commands, autoscaler);
+        this.bookingChanges = new BookingChangesTask(
+                cluster, fencingToken, dependencies.clock(), dependencies.timers(), cycle::wakeForEvent);
         this.heartbeats = new HeartbeatHandler(
                 dependencies,
                 fencingToken,
@@ -125,6 +129,7 @@
     /** Starts the term by restoring the predecessor's records. */
     public void start() {
         cycle.start();
+        bookingChanges.start();
         quotas.begin();
         recordReader.load();
     }
@@ -132,6 +137,7 @@
     /** Ends the term: its components stop, and responses to its requests are ignored. */
     public void stop() {
         cycle.cancel();
+        bookingChanges.cancel();
         heartbeats.stop();
         recordReader.stop();
         recordWriter.stop();
--- a/src/main/java/org/weldcourse/leader/LeaderTermDependencies.java
+++ b/src/main/java/org/weldcourse/leader/LeaderTermDependencies.java
@@ -1,6 +1,7 @@
 package org.weldcourse.leader;
 
 import java.util.Optional;
+import org.weldcourse.cluster.OperationCounter;
 import org.weldcourse.election.LeaderElection;
 import org.weldcourse.fleet.CloudClient;
 import org.weldcourse.fleet.MachineTypeCatalog;
@@ -31,7 +32,8 @@
         MachineTypeCatalog machineTypes,
         StoreOutage storeOutage,
         Optional<RecordedTeamQuotas> recordedQuotas,
-        StartCounts startCounts) {
+        StartCounts startCounts,
+        OperationCounter bookingOperations) {
 
     /** Team quotas that are kept in the store: their ledger, and the planner of the teams' budgets. */
     public record RecordedTeamQuotas(QuotaLedger ledger, BudgetPlanner planner) {}
--- a/src/main/java/org/weldcourse/leader/SyntheticCluster.java
+++ b/src/main/java/org/weldcourse/leader/SyntheticCluster.java
@@ -9,7 +9,6 @@
 import org.weldcourse.admission.Planner;
 import org.weldcourse.admission.SnapshotBuilder;
 import org.weldcourse.cluster.AttemptBookings;
-import org.weldcourse.cluster.Booking;
 import org.weldcourse.cluster.ClusterState;
 import org.weldcourse.cluster.Job;
 import org.weldcourse.cluster.Machine;
@@ -181,11 +180,11 @@
                         settings.workers().heartbeatIntervalMicros()));
         for (CycleDecisions.Admission admission : decisions.admissions()) {
             Job job = state.jobs.get(admission.job());
-            int attempt = job.lastAttempt() + 1;
-            List<Booking> booked = AttemptBookings.book(state, job, attempt, admission.tasks(), nowMicros);
-            recordWriter.admit(job, attempt, booked, persisted -> {
+            AttemptBookings bookings = new AttemptBookings(state, job, admission.tasks());
+            bookings.bookPart(MAX_TASKS_PER_ADMISSION, nowMicros);
+            recordWriter.admit(job, bookings.admission(), persisted -> {
                 if (persisted) {
-                    booked.forEach(Booking::markPersisted);
+                    bookings.markPersisted();
                 }
             });
         }
@@ -216,8 +215,7 @@
     /** Restores the jobs from their records, as a new leader does with its predecessor's records. */
     void restoreRecords() {
         for (Job job : state.jobs.values()) {
-            AdmittedTasks admitted = new AdmittedTasks();
-            job.bookings().forEach(booking -> admitted.add(booking.machine().name, booking.attempt(), booking.task()));
+            AdmittedTasks admitted = job.bookings().admitted();
             Map<String, Object> record = AdmissionRecordCodec.encode(admitted, job.lastAttempt(), 1, job.doneTasks());
             Job restored = new Job(job.spec(), 1, nowMicros);
             new JobRecordRestorer(settings.storeLimits())
--- a/src/main/java/org/weldcourse/leader/SyntheticHeartbeats.java
+++ b/src/main/java/org/weldcourse/leader/SyntheticHeartbeats.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import org.weldcourse.cluster.Booking;
+import org.weldcourse.cluster.BookingGroup;
 import org.weldcourse.cluster.Machine;
 import org.weldcourse.http.Json;
 import org.weldcourse.http.Server.Request;
@@ -52,8 +53,8 @@
 
     private static List<Object> tasks(Machine machine, int pass) {
         List<Object> tasks = new ArrayList<>();
-        for (Booking booking : machine.bookings.values()) {
-            if (booking.isStartSent() || booking.isReported()) {
+        for (BookingGroup group : machine.bookings.groups()) {
+            for (Booking booking : group.present()) {
                 tasks.add(task(booking, pass));
             }
         }
--- a/src/main/java/org/weldcourse/leader/TaskEviction.java
+++ b/src/main/java/org/weldcourse/leader/TaskEviction.java
@@ -1,12 +1,13 @@
 package org.weldcourse.leader;
 
-import java.util.ArrayList;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.weldcourse.cluster.Booking;
+import org.weldcourse.cluster.BookingGroup;
 import org.weldcourse.cluster.ClusterState;
 import org.weldcourse.cluster.Job;
 import org.weldcourse.cluster.Machine;
+import org.weldcourse.jobs.JobSpec;
 
 /**
  * Graceful eviction: requests the stop of tasks that did not start in time, whose spot machine is about to be reclaimed
@@ -33,26 +34,27 @@
 
     /** Evicts a gang, which is then queued again, if not all of its tasks run before the start timeout. */
     void evictGangOnStartTimeout(Job job, long nowMicros) {
-        for (Booking booking : job.bookings()) {
-            long startTimeoutMicros = gangWaitMicros + twiceFetchMicros(booking) + GANG_START_MARGIN_MICROS;
-            boolean timedOut = nowMicros - booking.bookedMicros() > startTimeoutMicros;
-            if (timedOut && !booking.isRunning() && !booking.isStopRequested()) {
+        for (BookingGroup group : job.bookings().groups()) {
+            long startTimeoutMicros = gangWaitMicros + twiceFetchMicros(group) + GANG_START_MARGIN_MICROS;
+            boolean timedOut = nowMicros - group.lastBookedMicros() > startTimeoutMicros;
+            if (timedOut && group.runningCount() < group.size() && !job.isEvicted()) {
                 LOG.info(
-                        "{} attempt {} did not start on {} before its timeout",
-                        booking.taskId(),
-                        booking.attempt(),
-                        booking.machine().name);
+                        "{}: {} of {} tasks did not start on {} before their timeout",
+                        job.spec().id(),
+                        group.size() - group.runningCount(),
+                        group.size(),
+                        group.machine().name);
                 cluster.evict(job, job.spec().checkpointSaveMicros());
                 return;
             }
         }
     }
 
-    private static long twiceFetchMicros(Booking booking) {
-        double gbPerSecond = booking.machine().type == null
+    private static long twiceFetchMicros(BookingGroup group) {
+        double gbPerSecond = group.machine().type == null
                 ? DEFAULT_FETCH_GB_PER_SECOND
-                : booking.machine().type.fetchGbPerSecond();
-        return Math.round(booking.job().spec().imageGb() / Math.max(MIN_FETCH_GB_PER_SECOND, gbPerSecond) * 2e6);
+                : group.machine().type.fetchGbPerSecond();
+        return Math.round(group.spec().imageGb() / Math.max(MIN_FETCH_GB_PER_SECOND, gbPerSecond) * 2e6);
     }
 
     /**
@@ -62,19 +64,36 @@
         if (machine.reclaimAtMicros == Long.MAX_VALUE) {
             return;
         }
-        for (Booking booking : new ArrayList<>(machine.bookings.values())) {
-            if (booking.isStopRequested()) {
-                continue;
+        for (BookingGroup group : machine.bookings.groups()) {
+            for (Booking booking : group.present()) {
+                long endMicros = nowMicros + cluster.runTimes.remainingMicros(booking, nowMicros);
+                if (!booking.isStopRequested() && endMicros >= machine.reclaimAtMicros) {
+                    LOG.debug(
+                            "{} attempt {} is evicted from {}, which the cloud is about to reclaim",
+                            booking.taskId(),
+                            booking.attempt(),
+                            machine.name);
+                    evict(booking);
+                }
             }
-            if (nowMicros + cluster.runTimes.remainingMicros(booking, nowMicros) < machine.reclaimAtMicros) {
-                continue;
+            if (nowMicros + cluster.runTimes.expectedMicros(group.job()) >= machine.reclaimAtMicros) {
+                evictWaiting(group, group.waitingCount());
             }
-            LOG.debug(
-                    "{} attempt {} is evicted from {}, which the cloud is about to reclaim",
-                    booking.taskId(),
-                    booking.attempt(),
-                    machine.name);
-            evict(booking);
+        }
+    }
+
+    /**
+     * Stops up to {@code max} tasks that wait on one machine, those that were booked first. If they belong to a gang, the
+     * whole gang is evicted.
+     */
+    void evictWaiting(BookingGroup group, int max) {
+        if (max == 0) {
+            return;
+        }
+        if (group.spec().isGang()) {
+            cluster.evict(group.job(), gracePeriodMicros(group.spec()));
+        } else {
+            group.stopWaiting(cluster, max);
         }
     }
 
@@ -83,13 +102,15 @@
      * whole gang is evicted.
      */
     void evict(Booking booking) {
-        long gracePeriodMicros = booking.job().spec().checkpointIntervalMicros() > 0
-                ? booking.job().spec().checkpointSaveMicros() + CHECKPOINT_SAVE_MARGIN_MICROS
-                : 0;
+        long gracePeriodMicros = gracePeriodMicros(booking.job().spec());
         if (booking.job().spec().isGang()) {
             cluster.evict(booking.job(), gracePeriodMicros);
         } else {
             booking.requestStop(gracePeriodMicros);
         }
     }
+
+    private static long gracePeriodMicros(JobSpec spec) {
+        return spec.checkpointIntervalMicros() > 0 ? spec.checkpointSaveMicros() + CHECKPOINT_SAVE_MARGIN_MICROS : 0;
+    }
 }
--- a/src/main/java/org/weldcourse/persistence/AdmissionRecords.java
+++ b/src/main/java/org/weldcourse/persistence/AdmissionRecords.java
@@ -7,7 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import org.weldcourse.cluster.Booking;
+import org.weldcourse.cluster.Admission;
 import org.weldcourse.cluster.Job;
 import org.weldcourse.jobs.AdmissionRecordCodec;
 import org.weldcourse.jobs.AdmittedTasks;
@@ -43,11 +43,11 @@
      * to an existing record of the job, together with the finished tasks: the store limits the rate of writes more
      * tightly than their size. Nothing is written if the records would then admit more than the team's limit.
      */
-    void admit(Job job, int attempt, List<Booking> booked, Transaction txn, RecordWriter.WriteCallback callback) {
+    void admit(Job job, Admission admission, Transaction txn, RecordWriter.WriteCallback callback) {
         Map<String, AdmittedTasks> writes = new LinkedHashMap<>();
         for (String key : keysToExtend(job)) {
             if (key.startsWith(StoreKeys.ADMISSIONS)) {
-                AdmittedTasks combined = addAll(currentContent(job, key), attempt, booked);
+                AdmittedTasks combined = currentContent(job, key).addAll(admission.unpersistedTasks());
                 if (combined.split(layout.admissionBytes(job)).size() == 1) {
                     writes.put(key, combined);
                     break;
@@ -55,7 +55,7 @@
             }
         }
         if (writes.isEmpty()) {
-            writes.putAll(splitIntoRecords(job, addAll(new AdmittedTasks(), attempt, booked), null));
+            writes.putAll(splitIntoRecords(job, admission.unpersistedTasks(), null));
         }
         if (!mustTakeReleasedTasksOffRecord(job)) {
             write(job, txn, writes, callback);
@@ -124,11 +124,6 @@
         }
     }
 
-    private static AdmittedTasks addAll(AdmittedTasks admitted, int attempt, List<Booking> booked) {
-        booked.forEach(booking -> admitted.add(booking.machine().name, attempt, booking.task()));
-        return admitted;
-    }
-
     /** Saves the finished tasks by rewriting the one of the job's records that needs the fewest writes. */
     void saveFinishedTasks(Job job, RecordWriter.WriteCallback callback) {
         Map<String, AdmittedTasks> smallest = null;
@@ -170,13 +165,7 @@
 
     /** The admitted tasks that a record must still contain: those of its current bookings. */
     private static AdmittedTasks currentContent(Job job, String key) {
-        AdmittedTasks current = new AdmittedTasks();
-        for (Booking booking : job.bookings()) {
-            if (key.equals(booking.recordKey())) {
-                current.add(booking.machine().name, booking.attempt(), booking.task());
-            }
-        }
-        return current;
+        return job.records().contents().booked(key, job);
     }
 
     private void write(
@@ -196,22 +185,16 @@
             }
             if (persisted) {
                 job.releasedTasks().removeAll(releasedBefore);
-                writes.forEach((key, part) -> setRecordKeys(job, key, part));
+                writes.forEach((key, part) -> recordContent(job, key, part));
             }
             callback.completed(persisted);
         });
     }
 
-    private static void setRecordKeys(Job job, String key, AdmittedTasks part) {
-        part.visit((machine, attempt, first, last) -> {
-            for (int task = first; task <= last; task++) {
-                Booking booking = job.booking(task);
-                if (booking != null && booking.attempt() == attempt) {
-                    booking.setRecordKey(key);
-                } else {
-                    job.releasedTasks().add(key, task);
-                }
-            }
-        });
+    /** Notes the content of a record that was written, and the tasks there that were released during the write. */
+    private static void recordContent(Job job, String key, AdmittedTasks written) {
+        job.records().contents().replace(key, written);
+        written.visitOutside(job.bookings().admitted(), (machine, attempt, first, last) -> job.releasedTasks()
+                .add(key, first, last));
     }
 }
--- a/src/main/java/org/weldcourse/persistence/JobCloser.java
+++ b/src/main/java/org/weldcourse/persistence/JobCloser.java
@@ -44,7 +44,7 @@
      * them.
      */
     void close(Job job) {
-        if (job.isClosing() || job.isClosed() || job.records().isWriteInFlight()) {
+        if (job.isClosing() || job.isClosed() || job.records().isWriteInFlight() || job.isAdmissionUnderWay()) {
             return;
         }
         Map<String, Object> outstanding =
--- a/src/main/java/org/weldcourse/persistence/JobRecordRestorer.java
+++ b/src/main/java/org/weldcourse/persistence/JobRecordRestorer.java
@@ -40,11 +40,11 @@
      * they are written to a shard.
      */
     private static void restoreDone(Job job, BitSet bits, int firstTask, boolean keptOnRewrite) {
-        for (int bit = bits.nextSetBit(0);
-                bit >= 0 && firstTask + bit < job.spec().tasks();
-                bit = bits.nextSetBit(bit + 1)) {
-            int task = firstTask + bit;
-            job.restoreDone(task, keptOnRewrite);
+        int endBit = job.spec().tasks() - firstTask;
+        for (int first = bits.nextSetBit(0); first >= 0 && first < endBit; ) {
+            int end = Math.min(endBit, bits.nextClearBit(first));
+            job.restoreDone(firstTask + first, firstTask + end, keptOnRewrite);
+            first = bits.nextSetBit(end);
         }
     }
 }
--- a/src/main/java/org/weldcourse/persistence/OutstandingRecord.java
+++ b/src/main/java/org/weldcourse/persistence/OutstandingRecord.java
@@ -9,7 +9,6 @@
 import org.weldcourse.jobs.AdmittedTasks;
 import org.weldcourse.jobs.InvalidJobException;
 import org.weldcourse.jobs.JobRecordCodec;
-import org.weldcourse.jobs.JobSpec;
 import org.weldcourse.jobs.StoreKeys;
 
 /**
@@ -19,34 +18,47 @@
  */
 public final class OutstandingRecord {
     private static final long NO_REVISION = 0;
+    /** The least that a range of tasks takes in a record: a digit and a separator. */
+    private static final int MIN_BYTES_PER_RANGE = 2;
 
     private OutstandingRecord() {}
 
     /** Encodes the record of a job that ends with booked tasks, or returns null if it exceeds {@code maxBytes}. */
     public static Map<String, Object> encode(Job job, int maxBytes) {
-        AdmittedTasks admitted = new AdmittedTasks();
-        job.bookings().forEach(booking -> admitted.add(booking.machine().name, booking.attempt(), booking.task()));
+        AdmittedTasks admitted = job.bookings().admitted();
+        if (admitted.rangeCount() * MIN_BYTES_PER_RANGE > maxBytes) {
+            return null;
+        }
         Map<String, Object> record = JobRecordCodec.encode(job.spec(), 0, job.isCancelled());
         JobRecordCodec.clearSchedulingFields(record);
         record.putAll(AdmissionRecordCodec.encode(admitted, job.lastAttempt(), 0, null));
         return Json.bytes(record).length <= maxBytes ? record : null;
     }
 
-    /** Restores an ended job from its record: books its tasks that may be on machines and requests their stop. */
-    public static Job restore(ClusterState cluster, Map<String, Object> record, long nowMicros)
-            throws InvalidJobException {
-        JobSpec spec = JobRecordCodec.decodeSpec(record);
-        Job job = new Job(spec, NO_REVISION, nowMicros);
+    /** Restores an ended job from its record, without its tasks. */
+    static Job restoreJob(Map<String, Object> record, long nowMicros) throws InvalidJobException {
+        Job job = new Job(JobRecordCodec.decodeSpec(record), NO_REVISION, nowMicros);
         job.markClosed();
         job.markOutstandingPersisted();
         job.markAllDone();
+        return job;
+    }
+
+    /** Books a task of an ended job that may be on a machine, and requests its stop. */
+    static void restoreTask(ClusterState cluster, Job job, int task, int attempt, String machine, long nowMicros) {
+        Booking booking = cluster.book(job, task, attempt, cluster.getOrAddMachine(machine, nowMicros), nowMicros);
+        booking.setRecordKey(StoreKeys.outstanding(job.spec().id()));
+        booking.markPersisted();
+        booking.requestStop(0);
+    }
+
+    /** Restores an ended job from its record: books its tasks that may be on machines and requests their stop. */
+    public static Job restore(ClusterState cluster, Map<String, Object> record, long nowMicros)
+            throws InvalidJobException {
+        Job job = restoreJob(record, nowMicros);
         AdmissionRecordCodec.visit(record, (machine, attempt, first, last) -> {
-            for (int task = first; task <= last && task < spec.tasks(); task++) {
-                Booking booking =
-                        cluster.book(job, task, attempt, cluster.getOrAddMachine(machine, nowMicros), nowMicros);
-                booking.setRecordKey(StoreKeys.outstanding(spec.id()));
-                booking.markPersisted();
-                booking.requestStop(0);
+            for (int task = first; task <= last && task < job.spec().tasks(); task++) {
+                restoreTask(cluster, job, task, attempt, machine, nowMicros);
             }
         });
         return job;
--- a/src/main/java/org/weldcourse/persistence/RecordWriter.java
+++ b/src/main/java/org/weldcourse/persistence/RecordWriter.java
@@ -1,7 +1,7 @@
 package org.weldcourse.persistence;
 
 import java.util.List;
-import org.weldcourse.cluster.Booking;
+import org.weldcourse.cluster.Admission;
 import org.weldcourse.cluster.Job;
 import org.weldcourse.runtime.Clock;
 import org.weldcourse.runtime.Timers;
@@ -119,7 +119,7 @@
     }
 
     /** Writes an admission, conditional on the job's revision that the decision was based on. */
-    public void admit(Job job, int attempt, List<Booking> booked, WriteCallback callback) {
+    public void admit(Job job, Admission admission, WriteCallback callback) {
         if (job.records().isWriteInFlight()) {
             // The bookings of the write in flight have no record key yet: this write would drop them from the record.
             callback.completed(false);
@@ -127,7 +127,7 @@
         }
         Transaction txn = fenced.newTransaction();
         listener.addAdmissionConditions(txn, job);
-        admissions.admit(job, attempt, booked, txn, callback);
+        admissions.admit(job, admission, txn, callback);
     }
 
     /**
--- a/src/main/java/org/weldcourse/workers/BookingReconciler.java
+++ b/src/main/java/org/weldcourse/workers/BookingReconciler.java
@@ -7,6 +7,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.weldcourse.cluster.Booking;
+import org.weldcourse.cluster.BookingGroup;
 import org.weldcourse.cluster.ClusterState;
 import org.weldcourse.cluster.Machine;
 import org.weldcourse.cluster.ReleaseReason;
@@ -14,12 +15,6 @@
 /** Reconciles the tasks that an accepted heartbeat lists with the machine's bookings. */
 final class BookingReconciler {
     private static final Logger LOG = LoggerFactory.getLogger(BookingReconciler.class);
-    /**
-     * How long a task may wait for room on its machine that nothing is freeing. The tasks there may end later than
-     * estimated, or their stop was decided by an earlier leader and lost with it.
-     */
-    private static final long MAX_WAIT_FOR_ROOM_MICROS = 30_000_000;
-
     private final ClusterState cluster;
     private final ResponseLossDetector responseLossDetector;
     private final StartAuthorization startAuthorization;
@@ -76,59 +71,38 @@
      */
     private boolean releaseUnlisted(Machine machine, Set<TaskId> listed, long nowMicros) {
         boolean released = false;
-        for (Booking booking : new ArrayList<>(machine.bookings.values())) {
-            if (listed.contains(booking.taskId())) {
-                continue;
-            }
-            booking.clearStartSent();
-            if (booking.isReported()) {
-                cluster.release(booking, ReleaseReason.NO_LONGER_LISTED, nowMicros);
-                released = true;
+        for (BookingGroup group : List.copyOf(machine.bookings.groups())) {
+            for (Booking booking : group.presentCopy()) {
+                if (listed.contains(booking.taskId())) {
+                    continue;
+                }
+                booking.clearStartSent();
+                if (booking.isReported()) {
+                    cluster.release(booking, ReleaseReason.NO_LONGER_LISTED, nowMicros);
+                    released = true;
+                }
             }
         }
         return released | releaseUnwanted(machine, nowMicros);
     }
 
     /**
-     * Releases the bookings of admitted tasks that are no longer wanted here or wait in vain, and that no response to the machine's last
-     * heartbeat or a later one told it to start. Returns whether any was released.
+     * Releases the bookings of admitted tasks that are no longer wanted here or wait in vain, and that no response to the
+     * machine's last heartbeat or a later one told it to start. If there are very many, the rest is released after other
+     * events: none of them is started meanwhile, and a task that is wanted again by then is kept. Returns whether any was
+     * released.
      */
     boolean releaseUnwanted(Machine machine, long nowMicros) {
-        boolean released = false;
-        for (Booking booking : new ArrayList<>(machine.bookings.values())) {
-            if (booking.isPersisted()
-                    && !booking.isReported()
-                    && !booking.isStartSent()
-                    && (isNoLongerWanted(booking) || waitsForRoomInVain(booking, nowMicros))) {
-                cluster.release(booking, ReleaseReason.NEVER_LISTED, nowMicros);
-                released = true;
-            }
+        if (machine.releasingUnwanted) {
+            return false;
         }
-        return released;
-    }
-
-    /**
-     * Whether the task of an array or a service has waited too long for room that no task is stopped for. A gang waits
-     * as a whole, and has a timeout of its own.
-     */
-    private static boolean waitsForRoomInVain(Booking booking, long nowMicros) {
-        Machine machine = booking.machine();
-        return !booking.job().spec().isGang()
-                && machine.type != null
-                && nowMicros - booking.bookedMicros() > MAX_WAIT_FOR_ROOM_MICROS
-                && !RemainingCapacity.afterStops(machine).fits(booking.job().spec())
-                && machine.bookings.values().stream().noneMatch(Booking::isStopRequested);
-    }
-
-    /**
-     * Whether the booking of an admitted task that was never listed is released. This includes tasks of a team above
-     * its limit: the store may still hold the admission of a task that was preempted under an earlier leader, beside
-     * that of the task which preempted it. Once the worker has forgotten the exit, the preempted task looks as if it
-     * had never been started.
-     */
-    private boolean isNoLongerWanted(Booking booking) {
-        return booking.isStopRequested()
-                || booking.machine().isCordoned()
-                || startAuthorization.isOverbooked(booking.job().spec().team());
+        UnwantedBookings unwanted = new UnwantedBookings(machine, startAuthorization, nowMicros);
+        if (!unwanted.hasNext()) {
+            return false;
+        }
+        machine.releasingUnwanted = true;
+        cluster.releaseInParts(
+                unwanted, ReleaseReason.NEVER_LISTED, () -> machine.releasingUnwanted = false, () -> nowMicros);
+        return true;
     }
 }
--- a/src/main/java/org/weldcourse/workers/CommandSelector.java
+++ b/src/main/java/org/weldcourse/workers/CommandSelector.java
@@ -4,10 +4,10 @@
 import java.util.List;
 import java.util.Optional;
 import org.weldcourse.cluster.Booking;
+import org.weldcourse.cluster.BookingGroup;
 import org.weldcourse.cluster.ClusterState;
 import org.weldcourse.cluster.Job;
 import org.weldcourse.cluster.Machine;
-import org.weldcourse.jobs.JobSpec;
 
 /** Selects the commands to send to a worker from the bookings of its machine and its last heartbeat. */
 public final class CommandSelector {
@@ -16,6 +16,9 @@
 
     private static final int MAX_FORGET_COMMANDS = MAX_COMMANDS / 4;
 
+    /** How many tasks of a job may be refused before the rest waits for the machine's next heartbeat. */
+    private static final int MAX_REFUSED_STARTS = 50;
+
     private final ClusterState cluster;
     private final StartAuthorization startAuthorization;
 
@@ -85,17 +88,16 @@
     }
 
     private static void addStops(Machine machine, List<WorkerCommand> commands) {
-        for (Booking booking : machine.bookings.values()) {
-            if (!booking.isReported()) {
-                continue;
-            }
-            // Does not wait for the admission cycle to request the stop: this response renews the worker's lease.
-            if (booking.job().isCancelled()) {
-                booking.requestStop(0);
-            }
-            if (booking.isStopRequested() && commands.size() < MAX_COMMANDS) {
-                commands.add(WorkerCommand.stop(booking.taskId(), booking.attempt(), booking.gracePeriodMicros()));
-                booking.markStopSent();
+        for (BookingGroup group : machine.bookings.groups()) {
+            for (Booking booking : group.present()) {
+                // Does not wait for the admission cycle to request the stop: this response renews the worker's lease.
+                if (booking.isReported() && group.job().isCancelled()) {
+                    booking.requestStop(0);
+                }
+                if (booking.isReported() && booking.isStopRequested() && commands.size() < MAX_COMMANDS) {
+                    commands.add(WorkerCommand.stop(booking.taskId(), booking.attempt(), booking.gracePeriodMicros()));
+                    booking.markStopSent();
+                }
             }
         }
     }
@@ -106,9 +108,26 @@
             return false;
         }
         RemainingCapacity freeCapacity = RemainingCapacity.afterStops(machine);
-        return machine.bookings.values().stream()
-                .anyMatch(booking -> StartAuthorization.isAdmitted(booking)
-                        && freeCapacity.fits(booking.job().spec()));
+        for (BookingGroup group : machine.bookings.groups()) {
+            if (freeCapacity.fits(group.spec()) && hasAdmittedTask(group)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    /** Whether a task of the group waits for its start on a persisted admission, among those that are looked at first. */
+    private static boolean hasAdmittedTask(BookingGroup group) {
+        int left = MAX_REFUSED_STARTS;
+        for (Booking booking : group.waiting()) {
+            if (StartAuthorization.isAdmitted(booking)) {
+                return true;
+            }
+            if (--left == 0) {
+                return false;
+            }
+        }
+        return false;
     }
 
     /**
@@ -121,14 +140,33 @@
 
     private void addStarts(Machine machine, List<WorkerCommand> commands, long nowMicros) {
         RemainingCapacity freeCapacity = RemainingCapacity.afterStops(machine);
-        for (Booking booking : machine.bookings.values()) {
-            JobSpec spec = booking.job().spec();
-            if (!freeCapacity.fits(spec)
-                    || commands.size() >= MAX_COMMANDS
-                    || !startAuthorization.allows(booking, nowMicros)) {
-                continue;
+        for (BookingGroup group : machine.bookings.groups()) {
+            if (freeCapacity.fits(group.spec()) && hasAdmittedTask(group)) {
+                addStarts(group, freeCapacity, commands, nowMicros);
+            }
+        }
+    }
+
+    private void addStarts(
+            BookingGroup group, RemainingCapacity freeCapacity, List<WorkerCommand> commands, long nowMicros) {
+        List<Booking> toStart = new ArrayList<>();
+        List<Booking> refused = new ArrayList<>();
+        for (Booking booking : group.waiting()) {
+            if (!freeCapacity.fits(group.spec())
+                    || commands.size() + toStart.size() >= MAX_COMMANDS
+                    || refused.size() >= MAX_REFUSED_STARTS) {
+                break;
+            }
+            if (startAuthorization.allows(booking, nowMicros)) {
+                freeCapacity.allocate(group.spec());
+                toStart.add(booking);
+            } else {
+                refused.add(booking);
             }
-            freeCapacity.allocate(spec);
+        }
+        // The next response looks at other tasks first.
+        refused.forEach(group::moveToEnd);
+        for (Booking booking : toStart) {
             booking.markStartSent();
             commands.add(WorkerCommand.start(booking.taskId(), booking.attempt()));
             startAuthorization.recordStart(booking);
@@ -139,12 +177,15 @@
      * Whether a task waits for its start command, which only the response to the machine's next heartbeat can carry.
      */
     public boolean needsHeartbeatPrompt(Machine machine) {
-        for (Booking booking : machine.bookings.values()) {
-            if (booking.isPersisted()
-                    && !booking.isReported()
-                    && !booking.isStartSent()
-                    && !booking.isStopRequested()) {
-                return true;
+        for (BookingGroup group : machine.bookings.groups()) {
+            int left = MAX_REFUSED_STARTS;
+            for (Booking booking : group.waiting()) {
+                if (booking.isPersisted() && !booking.isStopRequested()) {
+                    return true;
+                }
+                if (--left == 0) {
+                    break;
+                }
             }
         }
         return false;
--- a/src/main/java/org/weldcourse/workers/DirectCommands.java
+++ b/src/main/java/org/weldcourse/workers/DirectCommands.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.weldcourse.cluster.Booking;
+import org.weldcourse.cluster.BookingGroup;
 import org.weldcourse.cluster.ClusterState;
 import org.weldcourse.cluster.Machine;
 import org.weldcourse.http.HttpClient;
@@ -63,16 +64,26 @@
         if (machine.hasUnsentCommands && !overloaded && !machine.heartbeatResponsePending) {
             selector.heartbeatPromptCommand(machine).ifPresent(commands::add);
         }
-        for (Booking booking : machine.bookings.values()) {
+        for (BookingGroup group : machine.bookings.groups()) {
+            addStops(group, commands);
+        }
+        if (commands.size() >= CommandSelector.MAX_COMMANDS) {
+            // The rest goes out after the response to this message.
+            machine.hasUnsentCommands = true;
+        }
+        return commands;
+    }
+
+    private static void addStops(BookingGroup group, List<WorkerCommand> commands) {
+        for (Booking booking : group.present()) {
             if (commands.size() >= CommandSelector.MAX_COMMANDS) {
-                break;
+                return;
             }
             if (booking.needsStopCommand()) {
                 booking.markStopSent();
                 commands.add(WorkerCommand.stop(booking.taskId(), booking.attempt(), booking.gracePeriodMicros()));
             }
         }
-        return commands;
     }
 
     private void post(Machine machine, List<WorkerCommand> commands) {
--- a/src/main/java/org/weldcourse/workers/RemainingCapacity.java
+++ b/src/main/java/org/weldcourse/workers/RemainingCapacity.java
@@ -1,6 +1,7 @@
 package org.weldcourse.workers;
 
 import org.weldcourse.cluster.Booking;
+import org.weldcourse.cluster.BookingGroup;
 import org.weldcourse.cluster.Machine;
 import org.weldcourse.fleet.MachineType;
 import org.weldcourse.jobs.JobSpec;
@@ -22,9 +23,11 @@
      */
     static RemainingCapacity afterStops(Machine machine) {
         RemainingCapacity remaining = new RemainingCapacity(machine.type);
-        for (Booking booking : machine.bookings.values()) {
-            if (booking.isReported() && (!booking.isStopRequested() || willSaveCheckpoint(booking))) {
-                remaining.allocate(booking.job().spec());
+        for (BookingGroup group : machine.bookings.groups()) {
+            for (Booking booking : group.present()) {
+                if (booking.isReported() && (!booking.isStopRequested() || willSaveCheckpoint(booking))) {
+                    remaining.allocate(group.spec());
+                }
             }
         }
         return remaining;
--- a/src/main/java/org/weldcourse/workers/ResponseLossDetector.java
+++ b/src/main/java/org/weldcourse/workers/ResponseLossDetector.java
@@ -2,6 +2,7 @@
 
 import java.util.Set;
 import org.weldcourse.cluster.Booking;
+import org.weldcourse.cluster.BookingGroup;
 import org.weldcourse.cluster.Machine;
 
 /**
@@ -34,10 +35,12 @@
             machine.recordDeliveredResponse();
             return;
         }
-        for (Booking booking : machine.bookings.values()) {
-            if (booking.isStartSent() && !listed.contains(booking.taskId())) {
-                machine.recordLostResponse(nowMicros);
-                return;
+        for (BookingGroup group : machine.bookings.groups()) {
+            for (Booking booking : group.present()) {
+                if (booking.isStartSent() && !listed.contains(booking.taskId())) {
+                    machine.recordLostResponse(nowMicros);
+                    return;
+                }
             }
         }
     }
--- a/src/test/java/org/weldcourse/simulation/ClusterInvariants.java
+++ b/src/test/java/org/weldcourse/simulation/ClusterInvariants.java
@@ -4,6 +4,8 @@
 import java.util.BitSet;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -216,36 +218,39 @@
     }
 
     private void startGangIfComplete(String id, int attempt) {
-        List<String> members = tasksOf(id);
-        for (String member : members) {
+        int tasks = taskCount(id);
+        for (int task = 0; task < tasks; task++) {
+            String member = id + "/" + task;
             FakeWorker worker = workerByRunningTask.get(member);
             if (worker == null || worker.tasks().attempt(member) != attempt) {
                 return;
             }
         }
-        members.forEach(member -> workerByRunningTask.get(member).tasks().startWithGang(member));
+        for (int task = 0; task < tasks; task++) {
+            String member = id + "/" + task;
+            workerByRunningTask.get(member).tasks().startWithGang(member);
+        }
     }
 
-    private List<String> tasksOf(String id) {
-        List<String> tasks = new ArrayList<>();
-        for (int task = 0; task < Json.integer(jobs.get(id), "beads", 0); task++) {
-            tasks.add(id + "/" + task);
-        }
-        return tasks;
+    private int taskCount(String id) {
+        return (int) Json.integer(jobs.get(id), "beads", 0);
     }
 
     @Override
     public void machineFrozen(FakeWorker worker) {
+        Map<String, Set<Integer>> attemptsByGang = new LinkedHashMap<>();
         for (String task : worker.presentTasks()) {
             if (isGangTask(task)) {
-                int attempt = worker.tasks().attempt(task);
-                clock.after(GANG_PEER_MICROS, () -> {
-                    if (worker.isFrozenFor(GANG_PEER_MICROS)) {
-                        failGangMembers(jobOf(task), attempt);
-                    }
-                });
+                attemptsByGang
+                        .computeIfAbsent(jobOf(task), id -> new LinkedHashSet<>())
+                        .add(worker.tasks().attempt(task));
             }
         }
+        attemptsByGang.forEach((id, attempts) -> attempts.forEach(attempt -> clock.after(GANG_PEER_MICROS, () -> {
+            if (worker.isFrozenFor(GANG_PEER_MICROS)) {
+                failGangMembers(id, attempt);
+            }
+        })));
     }
 
     /** Ends the members of the gang that still run this attempt. */
@@ -253,12 +258,11 @@
         if (isTaskDone(id, 0)) {
             return;
         }
-        for (String member : tasksOf(id)) {
-            FakeWorker worker = workerByRunningTask.get(member);
-            if (worker != null) {
+        new LinkedHashMap<>(workerByRunningTask).forEach((member, worker) -> {
+            if (jobOf(member).equals(id)) {
                 worker.tasks().gangMemberLost(member, attempt);
             }
-        }
+        });
     }
 
     private void checkPlacement(Map<String, Object> job, String id, FakeWorker worker) {
@@ -314,7 +318,9 @@
             return;
         }
         String id = jobOf(task);
-        for (String member : tasksOf(id)) {
+        int tasks = taskCount(id);
+        for (int other = 0; other < tasks; other++) {
+            String member = id + "/" + other;
             FakeWorker remaining = workerByRunningTask.get(member);
             if (remaining != null) {
                 int attempt = remaining.tasks().attempt(member);
--- a/src/test/java/org/weldcourse/simulation/FakeClock.java
+++ b/src/test/java/org/weldcourse/simulation/FakeClock.java
@@ -13,6 +13,8 @@
             Comparator.comparingLong(ScheduledTask::atMicros).thenComparingLong(ScheduledTask::order));
     private long nowMicros = 1_000_000;
     private long order;
+    private long eventMicros;
+    private Runnable afterEvent = () -> {};
 
     @Override
     public long nowMicros() {
@@ -31,6 +33,16 @@
         return () -> cancelled[0] = true;
     }
 
+    /** Sets how long each event takes, as on a slow processor; events that are due meanwhile run late. */
+    public void eventsTake(long micros) {
+        eventMicros = micros;
+    }
+
+    /** Sets what runs after each event. */
+    public void afterEachEvent(Runnable listener) {
+        afterEvent = listener;
+    }
+
     /** Advances the clock and runs the timers that fall due, each at its own time. */
     public void pass(long micros) {
         long endMicros = nowMicros + micros;
@@ -39,9 +51,11 @@
             nowMicros = Math.max(nowMicros, next.atMicros);
             if (!next.cancelled[0]) {
                 next.work.run();
+                nowMicros += eventMicros;
+                afterEvent.run();
             }
         }
-        nowMicros = endMicros;
+        nowMicros = Math.max(nowMicros, endMicros);
     }
 
     public void passSeconds(double seconds) {
