Tell a worker to forget an attempt only when no copy of its start command counts

Callers saw: on a service like this one, a task ran on two machines at once and a cancelled task ran again after a late copy of a start command that had been carried out and answered.

Cause: a worker ignores a repeated start as long as it knows the attempt, and drops a response 4 s after it sent the report. An attempt that ended within those 4 s was forgotten before they were over, so that a copy of the response started it again: on a machine that the task had left, or after "cancelled".

Change: RecentStarts notes the start commands of the last 4.25 s; forget commands, in responses and direct ones, wait that long after a start.

Evidence: LateCopiesTest repeats every response, direct command and report. With it all 15 pass, also with a controller or a machine that returns within a second.

--- a/src/main/java/org/weldcourse/cluster/Machine.java
+++ b/src/main/java/org/weldcourse/cluster/Machine.java
@@ -73,6 +73,8 @@
     public int successesSinceError;
     /** Exited tasks in the last heartbeat that the worker has not been told to forget yet. */
     public final List<TaskStatus> exitedTasks = new ArrayList<>();
+    /** The start commands that the worker may get once more, as copies. */
+    public final RecentStarts recentStarts = new RecentStarts();
     /** Whether there may be commands that should not wait for the next heartbeat. */
     public boolean hasUnsentCommands;
     /** Whether bookings that are no longer wanted here are being released, in parts. */
--- a/src/main/java/org/weldcourse/leader/AdmissionCycle.java
+++ b/src/main/java/org/weldcourse/leader/AdmissionCycle.java
@@ -138,7 +138,7 @@
             // Only after a cycle has determined the demand: an earlier step would be costly and find nothing to do.
             autoscaler.start();
         }
-        directCommands.send(lateMicros() >= OVERLOAD_DELAY_MICROS);
+        directCommands.send(lateMicros() >= OVERLOAD_DELAY_MICROS, clock.nowMicros());
         earliestCycleMicros =
                 clock.nowMicros() + PAUSE_PER_ITEM_MICROS * (cluster.machines.size() + cluster.jobs.size());
         logStatus(nowMicros);
--- a/src/main/java/org/weldcourse/leader/SyntheticCluster.java
+++ b/src/main/java/org/weldcourse/leader/SyntheticCluster.java
@@ -191,7 +191,7 @@
         planScaleOut(decisions);
         for (Machine machine : state.machines.values()) {
             commands.needsHeartbeatPrompt(machine);
-            commands.heartbeatPromptCommand(machine);
+            commands.heartbeatPromptCommand(machine, nowMicros);
         }
     }
 
--- a/src/main/java/org/weldcourse/workers/CommandSelector.java
+++ b/src/main/java/org/weldcourse/workers/CommandSelector.java
@@ -37,7 +37,7 @@
      */
     public List<WorkerCommand> selectCommands(Machine machine, boolean mayStart, long nowMicros) {
         List<WorkerCommand> commands = new ArrayList<>();
-        addForgets(machine, commands);
+        addForgets(machine, commands, nowMicros);
         addStopsOfUnbookedTasks(machine, commands);
         addStops(machine, commands);
         if (mayStart && mayStartOn(machine)) {
@@ -69,8 +69,8 @@
      * Adds commands to forget exited attempts that no leader can start again, as the store's records show. If all
      * exited tasks may be forgotten, the last one is held back to prompt a heartbeat ({@link #heartbeatPromptCommand}).
      */
-    private void addForgets(Machine machine, List<WorkerCommand> commands) {
-        List<WorkerCommand> forgets = forgetCommands(machine);
+    private void addForgets(Machine machine, List<WorkerCommand> commands, long nowMicros) {
+        List<WorkerCommand> forgets = forgetCommands(machine, nowMicros);
         int heldBack = forgets.size() == machine.exitedTasks.size() ? 1 : 0;
         int count = Math.min(forgets.size() - heldBack, MAX_FORGET_COMMANDS);
         for (int i = 0; i < count; i++) {
@@ -168,6 +168,7 @@
         refused.forEach(group::moveToEnd);
         for (Booking booking : toStart) {
             booking.markStartSent();
+            booking.machine().recentStarts.add(booking.taskId(), booking.attempt(), nowMicros);
             commands.add(WorkerCommand.start(booking.taskId(), booking.attempt()));
             startAuthorization.recordStart(booking);
         }
@@ -195,16 +196,18 @@
      * Returns a forget command that makes the worker send a heartbeat at once, if there is one. Workers report the
      * change of their task list at once, and only the response to a heartbeat can carry a start command.
      */
-    public Optional<WorkerCommand> heartbeatPromptCommand(Machine machine) {
-        List<WorkerCommand> forgets = forgetCommands(machine);
+    public Optional<WorkerCommand> heartbeatPromptCommand(Machine machine, long nowMicros) {
+        List<WorkerCommand> forgets = forgetCommands(machine, nowMicros);
         return forgets.isEmpty() ? Optional.empty() : Optional.of(forgets.get(forgets.size() - 1));
     }
 
-    private List<WorkerCommand> forgetCommands(Machine machine) {
+    /** The commands to forget attempts that no leader can start again, and that no copy of a start command can either. */
+    private List<WorkerCommand> forgetCommands(Machine machine, long nowMicros) {
         List<WorkerCommand> forgets = new ArrayList<>();
         for (TaskStatus task : machine.exitedTasks) {
             Job job = cluster.jobs.get(task.id().jobId());
-            if (job == null || job.mayForget(task.id().index(), task.attempt())) {
+            boolean isOver = job == null || job.mayForget(task.id().index(), task.attempt());
+            if (isOver && !machine.recentStarts.mayBeRepeated(task.id(), task.attempt(), nowMicros)) {
                 forgets.add(WorkerCommand.forget(task.id(), task.attempt()));
             }
         }
--- a/src/main/java/org/weldcourse/workers/DirectCommands.java
+++ b/src/main/java/org/weldcourse/workers/DirectCommands.java
@@ -40,13 +40,13 @@
      * @param overloaded whether the leader is overloaded; then no heartbeats are prompted, since each costs a message
      *     and an additional heartbeat
      */
-    public void send(boolean overloaded) {
+    public void send(boolean overloaded, long nowMicros) {
         for (Machine machine : cluster.machines.values()) {
             if (inFlight >= maxInFlight) {
                 return;
             }
             if (machine.hasUnsentCommands && isReachable(machine)) {
-                List<WorkerCommand> commands = selectCommands(machine, overloaded);
+                List<WorkerCommand> commands = selectCommands(machine, overloaded, nowMicros);
                 if (!commands.isEmpty()) {
                     post(machine, commands);
                 }
@@ -58,11 +58,11 @@
         return !machine.directCommandsInFlight && machine.reconciled && !machine.deleting && machine.address != null;
     }
 
-    private List<WorkerCommand> selectCommands(Machine machine, boolean overloaded) {
+    private List<WorkerCommand> selectCommands(Machine machine, boolean overloaded, long nowMicros) {
         machine.hasUnsentCommands = selector.needsHeartbeatPrompt(machine);
         List<WorkerCommand> commands = new ArrayList<>();
         if (machine.hasUnsentCommands && !overloaded && !machine.heartbeatResponsePending) {
-            selector.heartbeatPromptCommand(machine).ifPresent(commands::add);
+            selector.heartbeatPromptCommand(machine, nowMicros).ifPresent(commands::add);
         }
         for (BookingGroup group : machine.bookings.groups()) {
             addStops(group, commands);
--- a/src/test/java/org/weldcourse/simulation/FakeWorker.java
+++ b/src/test/java/org/weldcourse/simulation/FakeWorker.java
@@ -22,6 +22,8 @@
     private final long heartbeatMicros;
     private final long leaseMicros;
     private final List<Map<String, Object>> heartbeats = new ArrayList<>();
+    private final List<HandledResponse> handledResponses = new ArrayList<>();
+    private final List<Server.Request> handledCommands = new ArrayList<>();
     private long incarnation = 1;
     private long sequence;
     private long fencingToken;
@@ -200,7 +202,39 @@
                 }));
     }
 
+    /** A heartbeat response that the worker has handled. */
+    private record HandledResponse(Map<String, Object> body, long sentMicros, long incarnation) {}
+
+    /**
+     * Handles copies of all heartbeat responses and direct commands again that this worker has ever handled. It drops what
+     * the protocol lets it drop: responses that are older than their timeout, belong to an earlier incarnation or carry an
+     * older token.
+     */
+    void receiveCopies() {
+        for (HandledResponse copy : List.copyOf(handledResponses)) {
+            runWhenNotFrozen(() -> handleCopy(copy));
+        }
+        for (Server.Request copy : List.copyOf(handledCommands)) {
+            runWhenNotFrozen(() -> executeCommands(copy, (status, body, retryAfterSeconds) -> {}));
+        }
+    }
+
+    private void handleCopy(HandledResponse copy) {
+        boolean inTime = clock.nowMicros() - copy.sentMicros <= HEARTBEAT_TIMEOUT_MICROS;
+        boolean isCurrent = copy.incarnation == incarnation && Json.integer(copy.body, "torch", 0) >= fencingToken;
+        if (alive && inTime && isCurrent) {
+            tasks.execute(Json.list(copy.body.get("orders")));
+        }
+    }
+
+    /** Also repeats what was sent to the machine's previous worker. */
+    void inheritCopies(FakeWorker previous) {
+        handledResponses.addAll(previous.handledResponses);
+        handledCommands.addAll(previous.handledCommands);
+    }
+
     private void handleHeartbeatResponse(Map<String, Object> body, long sentMicros) {
+        handledResponses.add(new HandledResponse(body, sentMicros, incarnation));
         long receivedToken = Json.integer(body, "torch", 0);
         if (receivedToken < fencingToken) {
             return;
@@ -248,6 +282,11 @@
     }
 
     private void handleCommands(Server.Request request, Server.Reply reply) {
+        handledCommands.add(request);
+        executeCommands(request, reply);
+    }
+
+    private void executeCommands(Server.Request request, Server.Reply reply) {
         Map<String, Object> body = Json.objectOrEmpty(request.body());
         if (!alive) {
             return;
