Wait in a test's set-up until another controller has a budget

TeamLimitsTest.pausedControllerResumesWithStaleBudgets picks a controller other than the leader that has a budget, and failed in its set-up (no such element) once forget commands waited for copies of starts: its jobs of 0.1 s then end a little later, and at that moment the last division had given a budget to the leader alone. A trace shows budgets of all five controllers one second later. The set-up now waits up to 10 s; what the test checks is unchanged, and it still fails if no other controller ever has a budget.

--- a/src/test/java/org/weldcourse/quota/TeamLimitsTest.java
+++ b/src/test/java/org/weldcourse/quota/TeamLimitsTest.java
@@ -101,13 +101,19 @@
         assertTrue(cluster.reaches("n0", id(body), "done", 60));
     }
 
+    private List<String> ownersOtherThanTheLeader() {
+        return teamRecord(CORE).budgets().keySet().stream()
+                .filter(name -> !name.startsWith(cluster.leader()))
+                .toList();
+    }
+
     @Test
     void pausedControllerResumesWithStaleBudgets() {
         grantBudgets(CORE);
-        String owner = teamRecord(CORE).budgets().keySet().stream()
-                .filter(name -> !name.startsWith(cluster.leader()))
-                .findFirst()
-                .orElseThrow();
+        for (int i = 0; i < 10 && ownersOtherThanTheLeader().isEmpty(); i++) {
+            cluster.clock.passSeconds(1);
+        }
+        String owner = ownersOtherThanTheLeader().get(0);
         String node = owner.substring(0, owner.indexOf('#'));
         cluster.pauseNode(node);
         for (int i = 0; i < 4; i++) {
