Fill one large machine in the tests of large jobs

The gangs were spread over four small machines, so that a release at once of all bookings of one machine stayed below the bound at 100,000 tasks.

--- a/src/test/java/org/weldcourse/app/LargeJobStepsTest.java
+++ b/src/test/java/org/weldcourse/app/LargeJobStepsTest.java
@@ -50,7 +50,7 @@
     }
 
     /**
-     * Submits a job whose tasks fill most of one machine, and waits until the first of them are on it, where they fetch
+     * Submits a job whose tasks fill most of one large machine, and waits until the first of them are on it, where they fetch
      * their image for longer than the test lasts.
      */
     private FakeWorker startLargeJob(String id, int tasks, Object... changes) {
@@ -65,6 +65,8 @@
                 0.9 * MACHINE_CPUS / tasks,
                 "mem_gb",
                 0.9 * MACHINE_GB / tasks,
+                "rigs",
+                List.of("large"),
                 "expected_s",
                 600.0);
         for (int i = 0; i < changes.length; i += 2) {
