Hold back forget commands by attempt, not by the last start of a task

Cause: RecentStarts knew the last start of each task alone. A response that started attempt 28 was lost; it hid the start of attempt 26 1.5 s before, so that 26 was forgotten and the copy of its start command counted.

Change: starts are noted by task and attempt.

--- a/src/main/java/org/weldcourse/cluster/RecentStarts.java
+++ b/src/main/java/org/weldcourse/cluster/RecentStarts.java
@@ -16,28 +16,30 @@
     static final long RESPONSE_LIFETIME_MICROS = 4_250_000;
 
     private final Deque<Start> starts = new ArrayDeque<>();
-    private final Map<TaskId, Start> lastByTask = new HashMap<>();
+    private final Map<Attempt, Start> lastByAttempt = new HashMap<>();
 
-    private record Start(TaskId task, int attempt, long sentMicros) {}
+    private record Attempt(TaskId task, int number) {}
+
+    private record Start(Attempt attempt, long sentMicros) {}
 
     /** Notes that the response to the current heartbeat contains this start command. */
     public void add(TaskId task, int attempt, long nowMicros) {
-        Start start = new Start(task, attempt, nowMicros);
+        removeExpired(nowMicros);
+        Start start = new Start(new Attempt(task, attempt), nowMicros);
         starts.add(start);
-        lastByTask.put(task, start);
+        lastByAttempt.put(start.attempt, start);
     }
 
     /** Whether a copy of a start command for this attempt may still be carried out. */
     public boolean mayBeRepeated(TaskId task, int attempt, long nowMicros) {
         removeExpired(nowMicros);
-        Start last = lastByTask.get(task);
-        return last != null && last.attempt == attempt;
+        return lastByAttempt.containsKey(new Attempt(task, attempt));
     }
 
     private void removeExpired(long nowMicros) {
         while (!starts.isEmpty() && nowMicros - starts.peek().sentMicros > RESPONSE_LIFETIME_MICROS) {
             Start expired = starts.remove();
-            lastByTask.remove(expired.task, expired);
+            lastByAttempt.remove(expired.attempt, expired);
         }
     }
 }
