--- a/src/test/java/org/weldcourse/app/RandomFaultsTest.java
+++ b/src/test/java/org/weldcourse/app/RandomFaultsTest.java
@@ -31,6 +31,8 @@
     private static final int EVENTS = 90;
     private static final int MAX_OPEN_JOBS = 40;
     private static final long MAX_EVENT_GAP_MICROS = 1_200_000;
+    private static final long COPY_INTERVAL_MICROS = 700_000;
+    private static final int COPIED_REPORTS = 5;
     /** Longer than any task runs: when no task starts and no job ends in this time, a job is stuck. */
     private static final int MAX_IDLE_SECONDS = 90;
 
@@ -91,8 +93,11 @@
             return cluster.starts.values().stream().mapToInt(Integer::intValue).sum();
         }
 
-        void run() {
+        void run(boolean repeatsMessages) {
             cluster.clock.passSeconds(8);
+            if (repeatsMessages) {
+                cluster.repeatMessages(COPY_INTERVAL_MICROS, COPIED_REPORTS);
+            }
             cluster.network.injectFaults((from, call) -> messageFault(call.path()));
             for (int i = 0; i < EVENTS; i++) {
                 submitOrCancel();
@@ -331,14 +336,14 @@
         }
     }
 
-    private static void runAllSeeds(OperatorSettings.TeamLimitSource limits) {
+    private static void runAllSeeds(OperatorSettings.TeamLimitSource limits, boolean repeatsMessages) {
         Map<Fault, Integer> injectedFaults = new EnumMap<>(Fault.class);
         int starts = 0;
         List<String> failures = new ArrayList<>();
         for (int seed = FIRST_SEED; seed < FIRST_SEED + SEED_COUNT; seed++) {
             FaultRun run = new FaultRun(seed, limits, injectedFaults);
             try {
-                run.run();
+                run.run(repeatsMessages);
             } catch (AssertionError | RuntimeException failure) {
                 failures.add("seed " + seed + ": " + failure);
             }
@@ -361,11 +366,17 @@
 
     @Test
     void invariantsHoldWithTeamLimitsOfTheSettings() {
-        runAllSeeds(OperatorSettings.TeamLimitSource.SETTINGS);
+        runAllSeeds(OperatorSettings.TeamLimitSource.SETTINGS, false);
     }
 
     @Test
     void invariantsHoldWithRecordedTeamLimits() {
-        runAllSeeds(OperatorSettings.TeamLimitSource.RECORDED);
+        runAllSeeds(OperatorSettings.TeamLimitSource.RECORDED, false);
+    }
+
+    /** Copies of responses, direct commands and reports arrive again, beside all other faults. */
+    @Test
+    void invariantsHoldWithCopiesOfMessages() {
+        runAllSeeds(OperatorSettings.TeamLimitSource.SETTINGS, true);
     }
 }
--- a/src/test/java/org/weldcourse/simulation/FakeTaskRunner.java
+++ b/src/test/java/org/weldcourse/simulation/FakeTaskRunner.java
@@ -1,9 +1,12 @@
 package org.weldcourse.simulation;
 
 import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.weldcourse.http.Json;
 
 /**
@@ -18,6 +21,8 @@
     private final FakeClock clock;
     private final TaskBehavior behavior;
     private final Map<String, FakeTask> tasks = new LinkedHashMap<>();
+    /** The attempts that the worker was told to run and not to forget; to run one of them again has no effect. */
+    private final Map<String, Set<Integer>> knownAttempts = new HashMap<>();
 
     FakeTaskRunner(FakeWorker worker, FakeClock clock, TaskBehavior behavior) {
         this.worker = worker;
@@ -57,6 +62,7 @@
     /** Kills all tasks without reporting an exit. */
     void dropAll() {
         new ArrayList<>(tasks.keySet()).forEach(this::drop);
+        knownAttempts.clear();
     }
 
     void execute(List<Object> commands) {
@@ -75,6 +81,7 @@
                 default -> {
                     if (task != null && task.attempt == attempt && task.isExited()) {
                         tasks.remove(taskId);
+                        knownAttempts.get(taskId).remove(attempt);
                         worker.scheduleHeartbeat();
                     }
                 }
@@ -83,7 +90,7 @@
     }
 
     private void run(String taskId, int attempt, FakeTask task) {
-        if (task != null && task.attempt == attempt) {
+        if (knownAttempts.getOrDefault(taskId, Set.of()).contains(attempt)) {
             return;
         }
         if (task != null && !task.isExited()) {
@@ -92,6 +99,7 @@
         }
         FakeTask newTask = new FakeTask(attempt);
         tasks.put(taskId, newTask);
+        knownAttempts.computeIfAbsent(taskId, id -> new HashSet<>()).add(attempt);
         long fetchMicros = behavior.fetchMicros(taskId);
         if (fetchMicros > 0) {
             clock.after(fetchMicros, () -> worker.runWhenNotFrozen(() -> imageFetched(taskId, newTask)));
