--- a/src/test/java/org/weldcourse/app/LateCopiesTest.java
+++ b/src/test/java/org/weldcourse/app/LateCopiesTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.weldcourse.simulation.MessageRepeater;
 import org.weldcourse.simulation.SimulatedCluster;
 
 /**
@@ -27,7 +28,7 @@
         cluster.cloud.addUnrequested("large", "a", false);
         cluster.cloud.addUnrequested("large", "a", false);
         cluster.clock.passSeconds(7);
-        cluster.repeatMessages(COPY_INTERVAL_MICROS, COPIED_REPORTS);
+        new MessageRepeater(cluster, COPY_INTERVAL_MICROS, COPIED_REPORTS).start();
         return cluster;
     }
 
--- a/src/test/java/org/weldcourse/app/RandomFaultsTest.java
+++ b/src/test/java/org/weldcourse/app/RandomFaultsTest.java
@@ -16,6 +16,7 @@
 import org.weldcourse.settings.Settings;
 import org.weldcourse.simulation.FakeNetwork;
 import org.weldcourse.simulation.FakeWorker;
+import org.weldcourse.simulation.MessageRepeater;
 import org.weldcourse.simulation.RandomJob;
 import org.weldcourse.simulation.SimulatedCluster;
 
@@ -96,7 +97,7 @@
         void run(boolean repeatsMessages) {
             cluster.clock.passSeconds(8);
             if (repeatsMessages) {
-                cluster.repeatMessages(COPY_INTERVAL_MICROS, COPIED_REPORTS);
+                new MessageRepeater(cluster, COPY_INTERVAL_MICROS, COPIED_REPORTS).start();
             }
             cluster.network.injectFaults((from, call) -> messageFault(call.path()));
             for (int i = 0; i < EVENTS; i++) {
--- a/src/test/java/org/weldcourse/simulation/SimulatedCluster.java
+++ b/src/test/java/org/weldcourse/simulation/SimulatedCluster.java
@@ -247,25 +247,6 @@
         workers.get(name).inheritCopies(worker);
     }
 
-    /**
-     * Delivers copies of earlier messages at intervals: to each worker all responses and direct commands that it has
-     * handled, and to each controller the last {@code reports} heartbeats of each machine.
-     */
-    public void repeatMessages(long intervalMicros, int reports) {
-        clock.after(intervalMicros, () -> {
-            List.copyOf(workers.values()).forEach(worker -> repeatMessages(worker, reports));
-            repeatMessages(intervalMicros, reports);
-        });
-    }
-
-    private void repeatMessages(FakeWorker worker, int reports) {
-        worker.receiveCopies();
-        List<Map<String, Object>> sent = List.copyOf(worker.heartbeats());
-        for (Map<String, Object> copy : sent.subList(Math.max(0, sent.size() - reports), sent.size())) {
-            alive().forEach(node -> postAsync(node, "/checkin", copy));
-        }
-    }
-
     private void stopWorker(String name) {
         FakeWorker worker = workers.remove(name);
         if (worker != null) {
