Show why a job waits: typed reasons in the log and the metrics

A waiting job was only logged at debug, as 'waits for free capacity'. What scale-out made of it (assigned to a running machine, deferred, launched) was not to be seen at all, nor which machines admission refused it and why.

Feasibility names why a machine may not run a job, WaitReason what its pending tasks wait for. PlacementConstraints checks the former in one place; admission asks it already. The leader logs the longest waits every 10 s with both, and serves the numbers of waiting tasks by reason. Nothing is decided otherwise.

--- a/src/main/java/org/weldcourse/admission/CycleBookings.java
+++ b/src/main/java/org/weldcourse/admission/CycleBookings.java
@@ -16,6 +16,7 @@
 import org.weldcourse.cluster.Snapshot.TaskView;
 import org.weldcourse.cluster.Snapshot.TeamView;
 import org.weldcourse.jobs.JobSpec;
+import org.weldcourse.placement.PlacementConstraints;
 
 /** The state of one admission cycle: free capacity of machines, usage of teams, and the decisions made so far. */
 final class CycleBookings {
@@ -23,7 +24,8 @@
     private final Map<String, TeamUsage> usages = new HashMap<>();
     private final List<CycleDecisions.Admission> admissions = new ArrayList<>();
     private final List<CycleDecisions.Preemption> preemptions = new ArrayList<>();
-    private final Set<String> reservedMachines = new HashSet<>();
+    private final Map<String, JobSpec> reservations = new HashMap<>();
+    private final Set<String> bookedBeyondLimit = new HashSet<>();
     private final int maxAdmissions;
 
     CycleBookings(Snapshot snapshot, Planner.CycleLimits limits) {
@@ -53,40 +55,27 @@
 
     /** The machines that the job may run on, regardless of their free capacity. */
     List<FreeCapacity> feasible(JobView job) {
-        JobSpec spec = job.spec();
+        PlacementConstraints constraints = constraints(job);
         List<FreeCapacity> feasible = new ArrayList<>();
         for (FreeCapacity capacity : capacities) {
-            MachineView machine = capacity.machine;
-            if (!isReservedAgainst(capacity, spec)
-                    && spec.allowsMachineType(machine.type().name())
-                    && spec.allowsZone(machine.zone())
-                    && (spec.allowsSpot() || !machine.spot())
-                    && !job.excludedMachines().contains(machine.name())) {
+            if (constraints.allows(capacity)) {
                 feasible.add(capacity);
             }
         }
         return feasible;
     }
 
-    /**
-     * Whether the machine is reserved for a gang and closed to the job. Jobs that the gang can preempt later may still
-     * use it.
-     */
-    private boolean isReservedAgainst(FreeCapacity capacity, JobSpec job) {
-        JobSpec gang = capacity.reservedFor;
-        if (gang == null) {
-            return false;
-        }
-        TeamUsage usage = usages.get(job.team());
-        boolean gangCanPreempt = job.priority().compareTo(gang.priority()) > 0
-                && (job.team().equals(gang.team()) || usage == null || !usage.hasCpuGuarantee());
-        return !gangCanPreempt;
+    /** What decides on which machines the job may run, apart from free capacity. */
+    PlacementConstraints constraints(JobView job) {
+        TeamUsage usage = usages.get(job.spec().team());
+        return new PlacementConstraints(
+                job.spec(), job.excludedMachines(), job.zones(), usage != null && usage.hasCpuGuarantee());
     }
 
     /** Reserves the machine for a gang that does not fit as a whole yet. */
     void reserve(FreeCapacity capacity, JobSpec gang) {
         capacity.reservedFor = gang;
-        reservedMachines.add(capacity.machine.name());
+        reservations.put(capacity.machine.name(), gang);
     }
 
     /**
@@ -137,7 +126,7 @@
             // Beyond the limit of admissions the capacity stays booked for this cycle and the machines are reserved.
             // Otherwise less important jobs would be admitted instead, and the machines scaled in before a later cycle
             // can admit these tasks.
-            reservedMachines.addAll(tasks.keySet());
+            bookedBeyondLimit.addAll(tasks.keySet());
         } else if (isLastAdmitted(job)) {
             // Merge tasks placed by preemption with those placed on free capacity: a job has at most one admission a
             // cycle, because its records must not be written twice at the same time.
@@ -159,6 +148,6 @@
 
     /** The cycle's decisions, with the given tasks as pending. */
     CycleDecisions decisions(List<CycleDecisions.PendingTasks> pending) {
-        return new CycleDecisions(admissions, preemptions, pending, reservedMachines);
+        return new CycleDecisions(admissions, preemptions, pending, reservations, bookedBeyondLimit);
     }
 }
--- a/src/main/java/org/weldcourse/admission/CycleDecisions.java
+++ b/src/main/java/org/weldcourse/admission/CycleDecisions.java
@@ -1,10 +1,12 @@
 package org.weldcourse.admission;
 
 import java.util.Arrays;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.weldcourse.jobs.JobSpec;
+import org.weldcourse.placement.PlacementConstraints;
 
 /**
  * The result of one admission cycle. The leader term applies it and passes the capacity demand to the fleet.
@@ -12,14 +14,22 @@
  * @param admissions the admissions, at most one per job, in the order in which they are to be written
  * @param preemptions tasks to preempt
  * @param pending tasks that lack capacity or quota; the fleet scales out for those that lack capacity
- * @param reservedMachines names of machines that the fleet must not scale in: reserved for gangs, or booked beyond the
- *     limit of admissions
+ * @param reservations the gangs that machines are reserved for, by the machine's name
+ * @param bookedBeyondLimit names of machines that are booked beyond the limit of admissions
  */
 public record CycleDecisions(
         List<Admission> admissions,
         List<Preemption> preemptions,
         List<PendingTasks> pending,
-        Set<String> reservedMachines) {
+        Map<String, JobSpec> reservations,
+        Set<String> bookedBeyondLimit) {
+
+    /** Names of machines that the fleet must not scale in. */
+    public Set<String> reservedMachines() {
+        Set<String> reserved = new HashSet<>(bookedBeyondLimit);
+        reserved.addAll(reservations.keySet());
+        return reserved;
+    }
 
     /**
      * Tasks of one job to admit.
@@ -54,14 +64,20 @@
     /**
      * Pending tasks of a job.
      *
-     * @param spec the job
+     * @param constraints the job, and on which machines it may run
      * @param tasks the number of pending tasks
      * @param blockedByQuota whether the tasks wait for quota, so that scaling out would not help
      * @param freeSlotsByZone for a gang, how many of its tasks already fit in each zone
      */
-    public record PendingTasks(JobSpec spec, int tasks, boolean blockedByQuota, Map<String, Integer> freeSlotsByZone) {
-        PendingTasks(JobSpec spec, int tasks, boolean blockedByQuota) {
-            this(spec, tasks, blockedByQuota, Map.of());
+    public record PendingTasks(
+            PlacementConstraints constraints, int tasks, boolean blockedByQuota, Map<String, Integer> freeSlotsByZone) {
+        PendingTasks(PlacementConstraints constraints, int tasks, boolean blockedByQuota) {
+            this(constraints, tasks, blockedByQuota, Map.of());
+        }
+
+        /** The job that the tasks belong to. */
+        public JobSpec spec() {
+            return constraints.job();
         }
     }
 }
--- a/src/main/java/org/weldcourse/admission/FreeCapacity.java
+++ b/src/main/java/org/weldcourse/admission/FreeCapacity.java
@@ -5,9 +5,10 @@
 import org.weldcourse.cluster.Snapshot.TaskView;
 import org.weldcourse.fleet.MachineType;
 import org.weldcourse.jobs.JobSpec;
+import org.weldcourse.placement.PlacementTarget;
 
 /** The free capacity of a machine during one admission cycle. */
-final class FreeCapacity {
+final class FreeCapacity implements PlacementTarget {
     final MachineView machine;
     final double pricePerCpu;
     /**
@@ -55,6 +56,31 @@
         }
     }
 
+    @Override
+    public String name() {
+        return machine.name();
+    }
+
+    @Override
+    public MachineType type() {
+        return machine.type();
+    }
+
+    @Override
+    public String zone() {
+        return machine.zone();
+    }
+
+    @Override
+    public boolean spot() {
+        return machine.spot();
+    }
+
+    @Override
+    public JobSpec reservedFor() {
+        return reservedFor;
+    }
+
     int fits(JobSpec job) {
         return MachineType.tasksThatFit(job, cpus, gpus, memoryGb);
     }
--- a/src/main/java/org/weldcourse/admission/Planner.java
+++ b/src/main/java/org/weldcourse/admission/Planner.java
@@ -65,7 +65,7 @@
         TeamUsage usage = bookings.usages().get(job.spec().team());
         int wanted = job.pending().cardinality();
         if (usage == null) {
-            pendingTasks.add(new CycleDecisions.PendingTasks(job.spec(), wanted, true));
+            pendingTasks.add(new CycleDecisions.PendingTasks(bookings.constraints(job), wanted, true));
             return;
         }
         // Reserved quota already counts as used, so it is released while its own job is being placed. So is the quota
@@ -91,13 +91,14 @@
         if (withinLimits < wanted) {
             preemptForQuota(job, usage, wanted);
             usage.reserve(job.spec(), wanted);
-            pendingTasks.add(new CycleDecisions.PendingTasks(job.spec(), wanted, true));
+            pendingTasks.add(new CycleDecisions.PendingTasks(bookings.constraints(job), wanted, true));
             return wanted;
         }
         if (gangs.place(job, usage, wanted)) {
             return wanted;
         }
-        pendingTasks.add(new CycleDecisions.PendingTasks(job.spec(), wanted, false, gangs.reserve(job, usage, wanted)));
+        pendingTasks.add(new CycleDecisions.PendingTasks(
+                bookings.constraints(job), wanted, false, gangs.reserve(job, usage, wanted)));
         return 0;
     }
 
@@ -113,9 +114,9 @@
         int allowed = Math.min(wanted, withinLimits);
         int placed = arrays.place(job, usage, Math.min(allowed, cycleLimits.maxTasksPerAdmission));
         if (placed < allowed) {
-            pendingTasks.add(new CycleDecisions.PendingTasks(job.spec(), allowed - placed, false));
+            pendingTasks.add(new CycleDecisions.PendingTasks(bookings.constraints(job), allowed - placed, false));
         } else if (placed < wanted) {
-            pendingTasks.add(new CycleDecisions.PendingTasks(job.spec(), wanted - placed, true));
+            pendingTasks.add(new CycleDecisions.PendingTasks(bookings.constraints(job), wanted - placed, true));
             // Later jobs must not take the quota that is only waiting to be taken off the record.
             int onceReleased = Math.min(wanted - placed, usage.tasksWithinLimitsOnceReleased(job.spec()));
             usage.charge(job.spec(), onceReleased);
--- a/src/main/java/org/weldcourse/app/ControllerMetrics.java
+++ b/src/main/java/org/weldcourse/app/ControllerMetrics.java
@@ -2,6 +2,7 @@
 
 import org.weldcourse.cluster.OperationCounter;
 import org.weldcourse.leader.LeaderTermMetrics;
+import org.weldcourse.placement.WaitReason;
 import org.weldcourse.quota.ResourceAmount;
 import org.weldcourse.workers.StartCounts;
 
@@ -84,6 +85,16 @@
                 orInfinity(limit.gpuLimit()));
     }
 
+    @Override
+    public void reportWaiting(WaitReason reason, int tasks, double longestSeconds) {
+        text.addForReason("waiting_tasks", "Pending tasks by what they wait for.", reason.text(), tasks);
+        text.addForReason(
+                "longest_wait_seconds",
+                "The longest time that a job has waited for capacity without any task being booked.",
+                reason.text(),
+                longestSeconds);
+    }
+
     private static double orInfinity(double limit) {
         return limit > 0 ? limit : Double.POSITIVE_INFINITY;
     }
--- a/src/main/java/org/weldcourse/app/MetricsText.java
+++ b/src/main/java/org/weldcourse/app/MetricsText.java
@@ -23,11 +23,22 @@
 
     /** Adds a metric with the label {@code team}. */
     public MetricsText addForTeam(String name, String help, String team, double value) {
+        return addLabelled(name, help, "team", team, value);
+    }
+
+    /** Adds a metric with the label {@code reason}. */
+    public MetricsText addForReason(String name, String help, String reason, double value) {
+        return addLabelled(name, help, "reason", reason, value);
+    }
+
+    private MetricsText addLabelled(String name, String help, String label, String labelValue, double value) {
         linesFor(name, help)
                 .append(PREFIX)
                 .append(name)
-                .append("{team=\"")
-                .append(escapeLabel(team))
+                .append('{')
+                .append(label)
+                .append("=\"")
+                .append(escapeLabel(labelValue))
                 .append("\"} ")
                 .append(formatValue(value))
                 .append('\n');
--- a/src/main/java/org/weldcourse/cluster/Machine.java
+++ b/src/main/java/org/weldcourse/cluster/Machine.java
@@ -7,12 +7,15 @@
 import java.util.Optional;
 import java.util.Set;
 import org.weldcourse.fleet.MachineType;
+import org.weldcourse.jobs.JobSpec;
+import org.weldcourse.placement.Feasibility;
+import org.weldcourse.placement.PlacementTarget;
 import org.weldcourse.workers.Heartbeat;
 import org.weldcourse.workers.TaskId;
 import org.weldcourse.workers.TaskStatus;
 
 /** A machine as the leader knows it, from its rental (or first heartbeat) until the cloud confirms its deletion. */
-public final class Machine {
+public final class Machine implements PlacementTarget {
     private static final int LOST_RESPONSES_TO_CORDON = 2;
 
     public final String name;
@@ -50,6 +53,8 @@
     /** Whether the cloud's machine list, which lags, shows the machine as starting. */
     public boolean starting;
 
+    /** The gang that the last admission cycle reserved the machine for, or null. */
+    public JobSpec reservedFor;
     /** Since when nothing has been booked here; meaningful only while there are no bookings. */
     public long idleSinceMicros;
     /** Consecutive heartbeat responses that did not reach the worker, as its next heartbeats showed. */
@@ -112,13 +117,43 @@
 
     /** Whether tasks may be booked on this machine. */
     public boolean isSchedulable() {
-        return reconciled
-                && !isCordoned()
-                && !deleting
-                && !reportedFailed
-                && type != null
-                && zone != null
-                && reclaimAtMicros == Long.MAX_VALUE;
+        return condition() == Feasibility.FEASIBLE;
+    }
+
+    @Override
+    public Feasibility condition() {
+        if (deleting || reportedFailed || reclaimAtMicros != Long.MAX_VALUE) {
+            return Feasibility.DRAINING;
+        }
+        if (isCordoned()) {
+            return Feasibility.CORDONED;
+        }
+        return reconciled && type != null && zone != null ? Feasibility.FEASIBLE : Feasibility.NOT_REPORTED;
+    }
+
+    @Override
+    public String name() {
+        return name;
+    }
+
+    @Override
+    public MachineType type() {
+        return type;
+    }
+
+    @Override
+    public String zone() {
+        return zone;
+    }
+
+    @Override
+    public boolean spot() {
+        return spot;
+    }
+
+    @Override
+    public JobSpec reservedFor() {
+        return reservedFor;
     }
 
     /** Records that the response to a heartbeat did not reach the worker, although its heartbeats arrive here. */
--- a/src/main/java/org/weldcourse/fleet/Autoscaler.java
+++ b/src/main/java/org/weldcourse/fleet/Autoscaler.java
@@ -5,6 +5,7 @@
 import org.weldcourse.cluster.ClusterState;
 import org.weldcourse.cluster.Machine;
 import org.weldcourse.jobs.JobSpec;
+import org.weldcourse.placement.WaitReason;
 import org.weldcourse.runtime.Clock;
 import org.weldcourse.runtime.ScheduledTask;
 import org.weldcourse.runtime.Timers;
@@ -97,6 +98,11 @@
         reservedMachines = reserved;
     }
 
+    /** Returns what the last plan made the pending tasks of a job wait for. */
+    public WaitReason waitReason(String job) {
+        return scaleOut.waitReason(job);
+    }
+
     /** Records a job; job classes with a start-time objective get a warm pool. */
     public void jobLoaded(JobSpec job) {
         warmPools.jobSeen(job, clock.nowMicros());
--- a/src/main/java/org/weldcourse/fleet/ScaleOut.java
+++ b/src/main/java/org/weldcourse/fleet/ScaleOut.java
@@ -11,6 +11,7 @@
 import org.weldcourse.cluster.BookingGroup;
 import org.weldcourse.cluster.ClusterState;
 import org.weldcourse.cluster.Machine;
+import org.weldcourse.placement.WaitReason;
 import org.weldcourse.runtime.Clock;
 import org.weldcourse.runtime.ScheduledTask;
 import org.weldcourse.store.RateLimiter;
@@ -44,6 +45,7 @@
     private final ScheduledTask autoscaler;
     private final Map<Offering, Long> backoffUntilMicros = new HashMap<>();
     private final Queue<LaunchRequest> timedOutRequests = new ArrayDeque<>();
+    private Map<String, WaitReason> waitReasons = Map.of();
     private long lastRequestNumber;
     private int requestsInFlight;
 
@@ -87,9 +89,10 @@
         backoffUntilMicros.values().removeIf(until -> until <= nowMicros);
         List<CapacityDemand> demand = new ArrayList<>(pending);
         demand.addAll(warmPools.shortfall(pending, nowMicros));
-        List<ScaleOutRequest> plan = ScaleOutPlanner.plan(
+        ScaleOutPlan plan = ScaleOutPlanner.plan(
                 demand, hosts(nowMicros), types.known(), backoffUntilMicros.keySet(), MAX_MACHINES_PER_PLAN, nowMicros);
-        for (ScaleOutRequest planned : plan) {
+        waitReasons = plan.reasons();
+        for (ScaleOutRequest planned : plan.requests()) {
             if (callLimiter.tryAcquire(1)) {
                 launch(new LaunchRequest(
                         nextRequestId(),
@@ -99,6 +102,11 @@
         }
     }
 
+    /** Returns what the last plan made the pending tasks of a job wait for. */
+    WaitReason waitReason(String job) {
+        return waitReasons.getOrDefault(job, WaitReason.NOT_PLANNED);
+    }
+
     /** Returns a unique id: the fencing token is unique to the term, the number within it. */
     private String nextRequestId() {
         lastRequestNumber++;
--- a/src/main/java/org/weldcourse/fleet/ScaleOutPlanner.java
+++ b/src/main/java/org/weldcourse/fleet/ScaleOutPlanner.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.function.Predicate;
 import org.weldcourse.fleet.LaunchCandidates.Candidate;
+import org.weldcourse.placement.WaitReason;
 
 /**
  * Plans which machines to launch for pending work, as a pure function. Array tasks use running and booting machines
@@ -25,6 +26,8 @@
     /** For each job class, work that did not justify a new machine on its own, in CPU-microseconds. */
     private final Map<String, Double> deferredWork = new HashMap<>();
 
+    private final Map<String, WaitReason> reasons = new HashMap<>();
+
     private ScaleOutPlanner(List<HostCapacity> hosts, LaunchCandidates candidates, int maxMachines) {
         this.candidates = candidates;
         this.maxMachines = maxMachines;
@@ -38,7 +41,7 @@
      * @param unavailable the offerings that currently have no capacity
      * @param maxMachines the maximum number of machines to launch
      */
-    public static List<ScaleOutRequest> plan(
+    public static ScaleOutPlan plan(
             List<CapacityDemand> demand,
             List<HostCapacity> hosts,
             List<MachineType> types,
@@ -48,13 +51,11 @@
         ScaleOutPlanner planner =
                 new ScaleOutPlanner(hosts, new LaunchCandidates(types, unavailable, nowMicros), maxMachines);
         for (CapacityDemand each : demand) {
-            if (each.job().isGang() || each.job().isService()) {
-                planner.planSlots(each);
-            } else {
-                planner.planWork(each);
-            }
+            boolean needsSlots = each.job().isGang() || each.job().isService();
+            WaitReason reason = needsSlots ? planner.planSlots(each) : planner.planWork(each);
+            planner.reasons.put(each.job().id(), reason);
         }
-        return planner.requests();
+        return new ScaleOutPlan(planner.requests(), planner.reasons);
     }
 
     private List<ScaleOutRequest> requests() {
@@ -70,10 +71,9 @@
      * cost the least. Free slots on running machines count only for the choice of the zone: other jobs may take them
      * before the new machines have booted. Surplus machines are soon used by array tasks, at no higher cost.
      */
-    private void planSlots(CapacityDemand demand) {
+    private WaitReason planSlots(CapacityDemand demand) {
         if (!demand.job().singleZone()) {
-            launchForSlots(demand, zone -> true);
-            return;
+            return launchForSlots(demand, zone -> true);
         }
         String best = null;
         double bestCost = Double.POSITIVE_INFINITY;
@@ -87,15 +87,15 @@
             }
         }
         if (best == null) {
-            return;
+            return WaitReason.NO_OFFERING;
         }
         if (bestCost > 0) {
-            launchForSlots(demand, best::equals);
-        } else {
-            // The booting machines suffice; their slots are assigned so that the next gang does not count on them too.
-            int wanted = demand.tasks() - demand.freeSlotsByZone().getOrDefault(best, 0);
-            assignSlots(demand, best::equals, wanted, new HashMap<>());
+            return launchForSlots(demand, best::equals);
         }
+        // The booting machines suffice; their slots are assigned so that the next gang does not count on them too.
+        int wanted = demand.tasks() - demand.freeSlotsByZone().getOrDefault(best, 0);
+        assignSlots(demand, best::equals, wanted, new HashMap<>());
+        return wanted > 0 ? WaitReason.BOOTING_MACHINES : WaitReason.RUNNING_MACHINES;
     }
 
     /**
@@ -119,9 +119,10 @@
                 : missing * cheapest.get().cost();
     }
 
-    private void launchForSlots(CapacityDemand demand, Predicate<String> inZone) {
+    private WaitReason launchForSlots(CapacityDemand demand, Predicate<String> inZone) {
         Map<String, Integer> plannedByZone = new HashMap<>();
         int remaining = assignSlots(demand, inZone, demand.tasks(), plannedByZone);
+        WaitReason reason = WaitReason.BOOTING_MACHINES;
         while (remaining > 0 && launches.size() < maxMachines) {
             // Without the zone limit check, this loop would keep launching machines that the job can't use.
             Optional<Candidate> cheapest = candidates.cheapest(demand, candidate -> {
@@ -129,10 +130,12 @@
                 return inZone.test(zone) && demand.remainingInZone(zone, plannedByZone) > 0;
             });
             if (cheapest.isEmpty()) {
-                return;
+                return WaitReason.NO_OFFERING;
             }
             remaining -= launch(cheapest.get()).assignSlots(demand, remaining, plannedByZone);
+            reason = WaitReason.LAUNCH;
         }
+        return reason;
     }
 
     /** Assigns slots on booting machines and returns how many are still missing. */
@@ -148,7 +151,7 @@
     }
 
     /** Assigns an array's work to machines that can finish it in time, and plans new machines for the rest. */
-    private void planWork(CapacityDemand demand) {
+    private WaitReason planWork(CapacityDemand demand) {
         String jobClass = demand.job().jobClass();
         double remaining =
                 (double) demand.tasks() * demand.runMicros() * demand.job().cpus();
@@ -158,21 +161,24 @@
         }
         Double deferred = deferredWork.remove(jobClass);
         remaining += deferred == null ? 0 : deferred;
+        WaitReason reason = WaitReason.RUNNING_MACHINES;
         while (remaining > 0 && launches.size() < maxMachines) {
             Optional<Candidate> cheapest = candidates.cheapest(demand, deadlineMicros);
             if (cheapest.isEmpty()) {
-                return;
+                return WaitReason.NO_OFFERING;
             }
             double machineWork = candidates.supply(cheapest.get()).availableWork(demand, deadlineMicros);
             if (machineWork <= 0) {
-                return;
+                return WaitReason.NO_OFFERING;
             }
             if (remaining < MIN_NEW_MACHINE_UTILIZATION * machineWork && !supplies.isEmpty()) {
                 deferredWork.put(jobClass, remaining);
-                return;
+                return WaitReason.LAUNCH_DEFERRED;
             }
             remaining -= launch(cheapest.get()).assignWork(demand, remaining, deadlineMicros);
+            reason = WaitReason.LAUNCH;
         }
+        return reason;
     }
 
     private HostSupply launch(Candidate candidate) {
--- a/src/main/java/org/weldcourse/leader/AdmissionCycle.java
+++ b/src/main/java/org/weldcourse/leader/AdmissionCycle.java
@@ -4,6 +4,7 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.weldcourse.admission.CapacityDemandEstimator;
+import org.weldcourse.admission.CapacityWaits;
 import org.weldcourse.admission.CycleDecisions;
 import org.weldcourse.admission.Planner;
 import org.weldcourse.admission.SnapshotBuilder;
@@ -51,6 +52,8 @@
     private final Autoscaler autoscaler;
     private final SnapshotBuilder snapshots;
     private final CapacityDemandEstimator demandEstimator;
+    private final CapacityWaits capacityWaits = new CapacityWaits();
+    private final WaitingJobs waitingJobs;
     private final TaskEviction taskEviction;
     private final JobCompletionHandler jobCompletion;
     private final ReleasedTaskCleanup releasedTaskCleanup;
@@ -84,6 +87,7 @@
         this.autoscaler = autoscaler;
         this.snapshots = new SnapshotBuilder(cluster, dependencies.settings(), quotas);
         this.demandEstimator = new CapacityDemandEstimator(cluster, dependencies.settings());
+        this.waitingJobs = new WaitingJobs(cluster, capacityWaits, autoscaler);
         this.taskEviction =
                 new TaskEviction(cluster, dependencies.settings().workers().gangWaitMicros());
         this.jobCompletion = new JobCompletionHandler(cluster, recordWriter, quotas, taskEviction, this::wakeIn);
@@ -157,11 +161,19 @@
     /** Ends a cycle once its admissions are booked: what is left over rests on all of them. */
     private void finishCycle(CycleDecisions decisions) {
         countAndLogPending(decisions.pending());
+        long nowMicros = clock.nowMicros();
+        capacityWaits.cycleEnded(decisions, cluster.jobs, nowMicros);
+        waitingJobs.cycleEnded(decisions.pending(), nowMicros);
         autoscaler.updateDemand(demandEstimator.demand(decisions.pending()), decisions.reservedMachines());
-        quotas.cycleEnded(decisions.pending(), clock.nowMicros());
+        quotas.cycleEnded(decisions.pending(), nowMicros);
         releasedTaskCleanup.run(decisions.pending());
     }
 
+    /** Reports the metrics of the pending tasks. */
+    void reportTo(LeaderTermMetrics metrics) {
+        waitingJobs.reportTo(metrics, clock.nowMicros());
+    }
+
     private void preempt(CycleDecisions.Preemption preemption) {
         Job job = cluster.jobs.get(preemption.job());
         if (job == null) {
--- a/src/main/java/org/weldcourse/leader/LeaderTerm.java
+++ b/src/main/java/org/weldcourse/leader/LeaderTerm.java
@@ -161,6 +161,7 @@
                 recovery.revision(),
                 cluster.outstandingJobs.size(),
                 cluster.tasksOfUnknownJobs());
+        cycle.reportTo(metrics);
         for (Settings.Team team : dependencies.settings().teams()) {
             String name = team.name();
             metrics.reportTeam(
--- a/src/main/java/org/weldcourse/leader/LeaderTermMetrics.java
+++ b/src/main/java/org/weldcourse/leader/LeaderTermMetrics.java
@@ -1,5 +1,6 @@
 package org.weldcourse.leader;
 
+import org.weldcourse.placement.WaitReason;
 import org.weldcourse.quota.ResourceAmount;
 
 /** Receives the metrics of a leader's term for a scrape of {@code /metrics}. */
@@ -25,4 +26,11 @@
      */
     void reportTeam(
             String team, ResourceAmount booked, ResourceAmount unbooked, ResourceAmount released, ResourceAmount limit);
+
+    /**
+     * Reports the tasks that wait for the same reason.
+     *
+     * @param longestSeconds the longest time that one of their jobs has waited for capacity
+     */
+    void reportWaiting(WaitReason reason, int tasks, double longestSeconds);
 }
--- a/src/test/java/org/weldcourse/fleet/ScaleOutPlannerTest.java
+++ b/src/test/java/org/weldcourse/fleet/ScaleOutPlannerTest.java
@@ -29,8 +29,14 @@
                 LARGE, "a", true, false, 0, remainingCpuSeconds * SECOND, 0, new double[] {0, 0, 0, reservedShare});
     }
 
+    private static List<ScaleOutRequest> requests(
+            List<CapacityDemand> demand, List<HostCapacity> hosts, Set<Offering> unavailable) {
+        return ScaleOutPlanner.plan(demand, hosts, List.of(LARGE), unavailable, 30, 0)
+                .requests();
+    }
+
     private static int launched(CapacityDemand demand, HostCapacity... hosts) {
-        return ScaleOutPlanner.plan(List.of(demand), List.of(hosts), List.of(LARGE), Set.of(), 30, 0).stream()
+        return requests(List.of(demand), List.of(hosts), Set.of()).stream()
                 .mapToInt(ScaleOutRequest::count)
                 .sum();
     }
@@ -61,12 +67,9 @@
     @Test
     void unavailableOfferingsAndSpotConstraintsAreRespected() throws Exception {
         CapacityDemand demand = new CapacityDemand(job("loaners", false), 4, 10 * SECOND, 60 * SECOND);
-        List<ScaleOutRequest> plan = ScaleOutPlanner.plan(List.of(demand), List.of(), List.of(LARGE), Set.of(), 30, 0);
+        List<ScaleOutRequest> plan = requests(List.of(demand), List.of(), Set.of());
         assertEquals(new Offering("large", "a", false), plan.get(0).offering());
-        assertEquals(
-                List.of(),
-                ScaleOutPlanner.plan(
-                        List.of(demand), List.of(), List.of(LARGE), Set.of(new Offering("large", "a", false)), 30, 0));
+        assertEquals(List.of(), requests(List.of(demand), List.of(), Set.of(new Offering("large", "a", false))));
     }
 
     @Test
@@ -75,13 +78,10 @@
         CapacityDemand first = new CapacityDemand(job(), 45, 10 * SECOND, 60 * SECOND);
         CapacityDemand small = new CapacityDemand(job(), 4, 10 * SECOND, 60 * SECOND);
         List<HostCapacity> hosts = List.of(runningHost(0, 0));
-        assertEquals(
-                0,
-                ScaleOutPlanner.plan(List.of(first, small), hosts, List.of(LARGE), Set.of(), 30, 0)
-                        .size());
+        assertEquals(0, requests(List.of(first, small), hosts, Set.of()).size());
         assertEquals(
                 1,
-                ScaleOutPlanner.plan(List.of(first, small, small, small, small), hosts, List.of(LARGE), Set.of(), 30, 0)
+                requests(List.of(first, small, small, small, small), hosts, Set.of())
                         .get(0)
                         .count());
     }
@@ -92,15 +92,8 @@
                 job("shape", "ensemble", "beads", 3, "cpus", 16.0, "together", true), 3, 60 * SECOND, 60 * SECOND);
         HostCapacity booting = new HostCapacity(LARGE, "a", true, true, 10 * SECOND, 0, 0, new double[4]);
         List<HostCapacity> hosts = List.of(booting, booting, booting);
-        assertEquals(
-                0,
-                ScaleOutPlanner.plan(List.of(gang), hosts, List.of(LARGE), Set.of(), 30, 0)
-                        .size());
-        assertEquals(
-                3,
-                ScaleOutPlanner.plan(List.of(gang, gang), hosts, List.of(LARGE), Set.of(), 30, 0)
-                        .get(0)
-                        .count());
+        assertEquals(0, requests(List.of(gang), hosts, Set.of()).size());
+        assertEquals(3, requests(List.of(gang, gang), hosts, Set.of()).get(0).count());
     }
 
     @Test
