End the exclusion of a machine after a failure

Users saw a job wait for good, once a task of it had failed on a machine and the cloud had no other machine: the machine was excluded for the job until the job had failed on three machines, so for ever if there were fewer.

--- a/src/main/java/org/weldcourse/admission/SnapshotBuilder.java
+++ b/src/main/java/org/weldcourse/admission/SnapshotBuilder.java
@@ -65,7 +65,7 @@
                         deadlines.latestStartMicros(job),
                         cluster.runTimes.expectedMicros(job),
                         zones,
-                        job.runHistory().excludedMachines(),
+                        job.runHistory().exclusions().machinesAt(nowMicros),
                         quotas.reservedTasks(job),
                         tasksReleasedByAdmission(job)));
             }
--- a/src/main/java/org/weldcourse/cluster/ClusterState.java
+++ b/src/main/java/org/weldcourse/cluster/ClusterState.java
@@ -275,13 +275,13 @@
         LOG.info("{} attempt {} failed on {}", booking.taskId(), booking.attempt(), machine.name);
         machine.failedJobs.add(job.spec().id());
         machine.successesSinceError = 0;
-        job.runHistory().excludedMachines().add(machine.name);
+        job.runHistory().exclusions().add(machine.name, nowMicros);
         int errors = job.runHistory().incrementErrors();
-        if (job.runHistory().excludedMachines().size() >= FAILED_MACHINES_BEFORE_BACKOFF) {
+        if (job.runHistory().exclusions().failedMachines() >= FAILED_MACHINES_BEFORE_BACKOFF) {
             // Failures on several machines point to the job itself: retry with exponential backoff, on any machine.
             long backoffMicros = BASE_BACKOFF_MICROS << Math.min(10, errors);
             job.runHistory().backOffUntil(nowMicros + Math.min(MAX_BACKOFF_MICROS, backoffMicros));
-            job.runHistory().excludedMachines().clear();
+            job.runHistory().exclusions().clear();
         }
     }
 
--- a/src/main/java/org/weldcourse/cluster/RunHistory.java
+++ b/src/main/java/org/weldcourse/cluster/RunHistory.java
@@ -1,19 +1,18 @@
 package org.weldcourse.cluster;
 
-import java.util.HashSet;
-import java.util.Set;
+import org.weldcourse.placement.MachineExclusions;
 
 /** How the runs of a job's tasks ended: failures, the backoff that they cause, and run times. */
 public final class RunHistory {
-    private final Set<String> excludedMachines = new HashSet<>();
+    private final MachineExclusions exclusions = new MachineExclusions();
     private int consecutiveErrors;
     private int finishedRuns;
     private long finishedRunMicros;
     private long backoffUntilMicros;
 
-    /** Names of machines on which tasks of the job failed recently; no task is booked there. */
-    public Set<String> excludedMachines() {
-        return excludedMachines;
+    /** The machines on which tasks of the job failed. */
+    public MachineExclusions exclusions() {
+        return exclusions;
     }
 
     /** Counts an error and returns the number of errors since the last success. */
