Let a gang's own exclusions hold up no other gang of its shape

A gang that cannot be placed is noted by its shape, so that others of the same shape and size are skipped in that cycle. A gang that failed on a machine was noted too, although it is the exclusion that keeps it off: others of its shape were skipped beside a free machine, and the free slots counted as found, so that nothing was launched for them either.

Found by reading the callers of the exclusions. PlannerTest failed before (one gang of two that fit was not admitted). The check of the type is part of the predicate already.

--- a/src/main/java/org/weldcourse/admission/GangAdmission.java
+++ b/src/main/java/org/weldcourse/admission/GangAdmission.java
@@ -41,7 +41,9 @@
                 return true;
             }
         }
-        unplaceable.merge(shape, tasks, Math::min);
+        if (job.excludedMachines().isEmpty()) {
+            unplaceable.merge(shape, tasks, Math::min);
+        }
         return false;
     }
 
@@ -70,11 +72,8 @@
     private Map<String, List<FreeCapacity>> domains(JobView job) {
         Map<String, List<FreeCapacity>> domains = new LinkedHashMap<>();
         for (FreeCapacity capacity : bookings.feasible(job)) {
-            if (capacity.machine.type().fits(job.spec())) {
-                domains.computeIfAbsent(
-                                job.spec().singleZone() ? capacity.machine.zone() : ANY_ZONE, zone -> new ArrayList<>())
-                        .add(capacity);
-            }
+            String zone = job.spec().singleZone() ? capacity.zone() : ANY_ZONE;
+            domains.computeIfAbsent(zone, each -> new ArrayList<>()).add(capacity);
         }
         return domains;
     }
--- a/src/test/java/org/weldcourse/admission/PlannerTest.java
+++ b/src/test/java/org/weldcourse/admission/PlannerTest.java
@@ -92,6 +92,29 @@
         return jobs;
     }
 
+    private static JobView withExcluded(JobView job, String machine) {
+        return new JobView(
+                job.spec(),
+                job.pending(),
+                job.acceptedMicros(),
+                job.started(),
+                job.admissionDeadlinesMicros(),
+                job.latestStartMicros(),
+                job.expectedRunMicros(),
+                job.zones(),
+                Set.of(machine),
+                job.quotaReservedTasks(),
+                job.releasedTasks());
+    }
+
+    /** Guards against a gang that keeps others off the machine that it has failed on itself. */
+    @Test
+    void gangThatFailedOnAMachineDoesNotHoldUpOthersOfItsShape() throws Exception {
+        JobView failed = withExcluded(gang(1, 1, 10), "m-1");
+        assertEquals(
+                List.of("req-000002"), admitted(decide(AMPLE_LIMITS, List.of(machine("m-1")), failed, gang(2, 1, 10))));
+    }
+
     @Test
     void overdueJobsPrecedeJobsThatCanMeetAnObjectiveAndThosePrecedeTheRest() throws Exception {
         List<MachineView> one = List.of(machine("m-1"));
