Let admission and the fleet agree on which machines may run a job

Cause: admission and scale-out decided about the same room by rules of their own.

PlacementConstraints is now the one place that says whether a job may run on a machine: condition of the machine, type, zone with regard to the other tasks, spot, exclusion, reservation. Admission, scale-out (running, booting and new machines), warm pools and, through their surplus, scale-in ask it; what it refuses is no capacity. A machine that fails everything is refused at once, not only when its deletion is confirmed.

The deferral of small work ends after 45 s, and at once if no machine that is up may run it. The same holds for work that is left to running machines: tasks that overrun their estimate or a lack of memory, which the plan does not count, no longer hold a job up. From then on the job gets a machine that is still to come, one at a time.

--- a/src/main/java/org/weldcourse/admission/CapacityDemandEstimator.java
+++ b/src/main/java/org/weldcourse/admission/CapacityDemandEstimator.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import org.weldcourse.cluster.ClusterState;
 import org.weldcourse.cluster.Job;
-import org.weldcourse.cluster.ZoneCounts;
 import org.weldcourse.fleet.CapacityDemand;
 import org.weldcourse.jobs.JobSpec;
+import org.weldcourse.placement.PlacementConstraints;
 import org.weldcourse.settings.Settings;
 
 /** Computes the capacity demand of the tasks that an admission cycle left pending. */
@@ -32,24 +32,31 @@
     }
 
     /** The capacity demand of the pending tasks that are not blocked by quota. */
-    public List<CapacityDemand> demand(List<CycleDecisions.PendingTasks> pending) {
+    public List<CapacityDemand> demand(List<CycleDecisions.PendingTasks> pending, CapacityWaits waits, long nowMicros) {
         List<CapacityDemand> demand = new ArrayList<>();
         for (CycleDecisions.PendingTasks tasks : pending) {
-            if (!tasks.blockedByQuota()) {
-                JobSpec spec = tasks.spec();
-                Job job = cluster.jobs.get(spec.id());
-                demand.add(new CapacityDemand(
-                        spec,
-                        tasks.tasks(),
-                        spec.isService()
-                                ? MIN_RUN_MICROS
-                                : Math.max(MIN_RUN_MICROS, cluster.runTimes.expectedMicros(job)),
-                        gapMicros,
-                        deadlines.dueMicros(job),
-                        tasks.freeSlotsByZone(),
-                        spec.spreadAcrossZones() ? job.zoneCounts() : ZoneCounts.NONE));
+            Job job = cluster.jobs.get(tasks.spec().id());
+            if (!tasks.blockedByQuota() && job != null) {
+                demand.add(demand(tasks, job, waits.waitedMicros(tasks.spec().id(), nowMicros)));
             }
         }
         return demand;
     }
+
+    private CapacityDemand demand(CycleDecisions.PendingTasks tasks, Job job, long waitedMicros) {
+        JobSpec spec = tasks.spec();
+        long runMicros =
+                spec.isService() ? MIN_RUN_MICROS : Math.max(MIN_RUN_MICROS, cluster.runTimes.expectedMicros(job));
+        // The cycle may have booked tasks of the job, which bind the others to their zone.
+        PlacementConstraints constraints =
+                spec.hasZoneConstraint() ? tasks.constraints().withOtherTasks(job.zoneCounts()) : tasks.constraints();
+        return new CapacityDemand(
+                constraints,
+                tasks.tasks(),
+                runMicros,
+                gapMicros,
+                deadlines.dueMicros(job),
+                tasks.freeSlotsByZone(),
+                waitedMicros);
+    }
 }
--- a/src/main/java/org/weldcourse/cluster/Machine.java
+++ b/src/main/java/org/weldcourse/cluster/Machine.java
@@ -17,6 +17,8 @@
 /** A machine as the leader knows it, from its rental (or first heartbeat) until the cloud confirms its deletion. */
 public final class Machine implements PlacementTarget {
     private static final int LOST_RESPONSES_TO_CORDON = 2;
+    /** Minimum number of jobs with failed tasks for a machine to count as faulty. */
+    private static final int FAULTY_MACHINE_FAILED_JOBS = 2;
 
     public final String name;
     /** The worker's address for direct commands, or null if not known yet. */
@@ -125,6 +127,9 @@
         if (deleting || reportedFailed || reclaimAtMicros != Long.MAX_VALUE) {
             return Feasibility.DRAINING;
         }
+        if (isFaulty()) {
+            return Feasibility.FAULTY;
+        }
         if (isCordoned()) {
             return Feasibility.CORDONED;
         }
@@ -156,6 +161,11 @@
         return reservedFor;
     }
 
+    /** Whether tasks of several jobs failed on the machine, and none has succeeded since. */
+    public boolean isFaulty() {
+        return failedJobs.size() >= FAULTY_MACHINE_FAILED_JOBS && successesSinceError == 0;
+    }
+
     /** Records that the response to a heartbeat did not reach the worker, although its heartbeats arrive here. */
     public void recordLostResponse(long nowMicros) {
         if (consecutiveLostResponses++ == 0) {
--- a/src/main/java/org/weldcourse/fleet/Autoscaler.java
+++ b/src/main/java/org/weldcourse/fleet/Autoscaler.java
@@ -1,6 +1,7 @@
 package org.weldcourse.fleet;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.weldcourse.cluster.ClusterState;
 import org.weldcourse.cluster.Machine;
@@ -92,10 +93,18 @@
                 this);
     }
 
-    /** Updates the demand that the last admission cycle could not place, and the idle machines that it reserved. */
-    public void updateDemand(List<CapacityDemand> pending, Set<String> reserved) {
+    /**
+     * Updates what the last admission cycle decided.
+     *
+     * @param pending the demand that it could not place
+     * @param reservations the gangs that it reserved machines for, by the machine's name
+     * @param machinesInUse names of machines that are kept even if they are idle
+     */
+    public void updateDemand(
+            List<CapacityDemand> pending, Map<String, JobSpec> reservations, Set<String> machinesInUse) {
         demand = pending;
-        reservedMachines = reserved;
+        reservedMachines = machinesInUse;
+        cluster.machines.values().forEach(machine -> machine.reservedFor = reservations.get(machine.name));
     }
 
     /** Returns what the last plan made the pending tasks of a job wait for. */
--- a/src/main/java/org/weldcourse/fleet/HostSupply.java
+++ b/src/main/java/org/weldcourse/fleet/HostSupply.java
@@ -1,7 +1,6 @@
 package org.weldcourse.fleet;
 
 import java.util.Map;
-import org.weldcourse.jobs.JobSpec;
 
 /** Remaining capacity of a host during planning: slots for gang tasks and replicas, CPU time for array tasks. */
 final class HostSupply {
@@ -25,9 +24,18 @@
         return host.zone();
     }
 
+    boolean isBooting() {
+        return host.booting();
+    }
+
+    /** Returns whether tasks of the demand may run on the host, whatever else runs there. */
+    boolean allows(CapacityDemand demand) {
+        return demand.constraints().allows(host);
+    }
+
     /** Returns how many tasks of a gang or service fit on the host. */
     int availableSlots(CapacityDemand demand) {
-        if (slotCpus <= 0 || !allows(demand.job())) {
+        if (slotCpus <= 0 || !allows(demand)) {
             return 0;
         }
         return (int) Math.min(
@@ -63,7 +71,7 @@
         long fetchMicros = host.booting() ? demand.fetchMicros(host.type()) : 0;
         long runs =
                 (deadlineMicros - host.availableAtMicros() - fetchMicros) / (demand.runMicros() + demand.gapMicros());
-        if (!allows(demand.job()) || runs <= 0) {
+        if (!allows(demand) || runs <= 0) {
             return 0;
         }
         double totalCpuMicros = EFFICIENCY
@@ -82,8 +90,4 @@
         usedCpuMicros += assigned;
         return assigned;
     }
-
-    private boolean allows(JobSpec job) {
-        return host.type().fits(job) && job.allowsZone(host.zone()) && (job.allowsSpot() || !host.spot());
-    }
 }
--- a/src/main/java/org/weldcourse/fleet/LaunchCandidates.java
+++ b/src/main/java/org/weldcourse/fleet/LaunchCandidates.java
@@ -8,6 +8,7 @@
 import java.util.TreeSet;
 import java.util.function.Predicate;
 import org.weldcourse.jobs.JobSpec;
+import org.weldcourse.placement.PlacementTarget;
 
 /** Offerings suitable for a demand, with the cost of running its tasks on each. */
 final class LaunchCandidates {
@@ -20,6 +21,14 @@
     private final Set<Offering> unavailable;
     private final long nowMicros;
 
+    /** A machine that may be launched, as a place for tasks. */
+    private record LaunchTarget(MachineType type, String zone, boolean spot) implements PlacementTarget {
+        @Override
+        public String name() {
+            return null;
+        }
+    }
+
     /** Creates candidates of the given types, without unavailable offerings. */
     LaunchCandidates(List<MachineType> types, Set<Offering> unavailable, long nowMicros) {
         this.types = types;
@@ -92,7 +101,8 @@
             for (String zone : type.zones()) {
                 for (boolean spot : new boolean[] {true, false}) {
                     Offering offering = new Offering(type.name(), zone, spot);
-                    if (spot && !job.allowsSpot() || !job.allowsZone(zone) || unavailable.contains(offering)) {
+                    if (unavailable.contains(offering)
+                            || !demand.constraints().allows(new LaunchTarget(type, zone, spot))) {
                         continue;
                     }
                     double cost = type.pricePerHour(spot) / (usedSlots * job.cpus()) * bootCostFactor;
--- a/src/main/java/org/weldcourse/fleet/ScaleInPolicy.java
+++ b/src/main/java/org/weldcourse/fleet/ScaleInPolicy.java
@@ -14,8 +14,6 @@
 final class ScaleInPolicy {
     /** Time after the announced reclaim before a silent machine counts as reclaimed. */
     private static final long RECLAIM_MARGIN_MICROS = 1_000_000;
-    /** Minimum number of jobs with failed tasks for a machine to count as faulty. */
-    private static final int FAULTY_MACHINE_FAILED_JOBS = 2;
 
     private final ClusterState cluster;
     private final HeartbeatTimeouts timeouts;
@@ -46,7 +44,7 @@
         if (machine.reportedFailed) {
             return Optional.of(ScaleInReason.FAILED);
         }
-        if (machine.failedJobs.size() >= FAULTY_MACHINE_FAILED_JOBS && machine.successesSinceError == 0) {
+        if (machine.isFaulty()) {
             return Optional.of(ScaleInReason.FAULTY);
         }
         return machine.isUp() ? reasonOnceUp(machine, nowMicros) : reasonBeforeUp(machine, nowMicros);
--- a/src/main/java/org/weldcourse/fleet/ScaleOut.java
+++ b/src/main/java/org/weldcourse/fleet/ScaleOut.java
@@ -8,9 +8,7 @@
 import java.util.Queue;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.weldcourse.cluster.BookingGroup;
 import org.weldcourse.cluster.ClusterState;
-import org.weldcourse.cluster.Machine;
 import org.weldcourse.placement.WaitReason;
 import org.weldcourse.runtime.Clock;
 import org.weldcourse.runtime.ScheduledTask;
@@ -28,8 +26,6 @@
     private static final long FAILURE_BACKOFF_MICROS = 2_000_000;
     /** Delay from a launch response to the next plan. */
     private static final long NEXT_PLAN_DELAY_MICROS = 50_000;
-    /** Minimum assumed time until a booting machine is available, even if it is overdue. */
-    private static final long MIN_REMAINING_BOOT_MICROS = 5_000_000;
 
     private static final int MAX_MACHINES_PER_PLAN = 200;
 
@@ -90,7 +86,12 @@
         List<CapacityDemand> demand = new ArrayList<>(pending);
         demand.addAll(warmPools.shortfall(pending, nowMicros));
         ScaleOutPlan plan = ScaleOutPlanner.plan(
-                demand, hosts(nowMicros), types.known(), backoffUntilMicros.keySet(), MAX_MACHINES_PER_PLAN, nowMicros);
+                demand,
+                AvailableHosts.capacities(cluster, warmPools, nowMicros),
+                types.known(),
+                backoffUntilMicros.keySet(),
+                MAX_MACHINES_PER_PLAN,
+                nowMicros);
         waitReasons = plan.reasons();
         for (ScaleOutRequest planned : plan.requests()) {
             if (callLimiter.tryAcquire(1)) {
@@ -145,40 +146,4 @@
     private void backOff(Offering offering, long micros) {
         backoffUntilMicros.put(offering, clock.nowMicros() + micros);
     }
-
-    private List<HostCapacity> hosts(long nowMicros) {
-        List<HostCapacity> hosts = new ArrayList<>();
-        for (Machine machine : cluster.machines.values()) {
-            boolean booting = !machine.isUp() && !BootTimeouts.isBootOverdue(machine, nowMicros);
-            if (machine.type != null && !machine.deleting && (booting || machine.isSchedulable())) {
-                hosts.add(host(machine, booting, nowMicros));
-            }
-        }
-        return hosts;
-    }
-
-    private HostCapacity host(Machine machine, boolean booting, long nowMicros) {
-        long availableAtMicros = booting
-                ? Math.max(nowMicros + MIN_REMAINING_BOOT_MICROS, machine.rentedMicros + machine.type.bootMicros())
-                : nowMicros;
-        double remainingCpuMicros = 0;
-        double serviceCpus = 0;
-        for (BookingGroup group : machine.bookings.groups()) {
-            if (group.spec().isService()) {
-                serviceCpus += group.spec().cpus() * group.size();
-            } else {
-                remainingCpuMicros += cluster.runTimes.remainingMicros(group, nowMicros)
-                        * group.spec().cpus();
-            }
-        }
-        return new HostCapacity(
-                machine.type,
-                machine.zone,
-                machine.spot,
-                booting,
-                availableAtMicros,
-                remainingCpuMicros,
-                serviceCpus,
-                warmPools.higherPriorityShares(machine));
-    }
 }
--- a/src/main/java/org/weldcourse/fleet/ScaleOutPlanner.java
+++ b/src/main/java/org/weldcourse/fleet/ScaleOutPlanner.java
@@ -93,7 +93,7 @@
             return launchForSlots(demand, best::equals);
         }
         // The booting machines suffice; their slots are assigned so that the next gang does not count on them too.
-        int wanted = demand.tasks() - demand.freeSlotsByZone().getOrDefault(best, 0);
+        int wanted = demand.tasks() - demand.freeSlotsIn(best);
         assignSlots(demand, best::equals, wanted, new HashMap<>());
         return wanted > 0 ? WaitReason.BOOTING_MACHINES : WaitReason.RUNNING_MACHINES;
     }
@@ -103,7 +103,7 @@
      * provides them.
      */
     private double costOfMissingSlots(CapacityDemand demand, String zone) {
-        int missing = demand.tasks() - demand.freeSlotsByZone().getOrDefault(zone, 0);
+        int missing = demand.tasks() - demand.freeSlotsIn(zone);
         for (HostSupply supply : supplies) {
             if (zone.equals(supply.zone())) {
                 missing -= supply.availableSlots(demand);
@@ -150,29 +150,50 @@
         return remaining;
     }
 
-    /** Assigns an array's work to machines that can finish it in time, and plans new machines for the rest. */
+    /**
+     * Assigns an array's work to machines that can finish it in time, and plans new machines for the rest. Overdue work
+     * gets a machine that is still to come in any case.
+     */
     private WaitReason planWork(CapacityDemand demand) {
-        String jobClass = demand.job().jobClass();
-        double remaining =
-                (double) demand.tasks() * demand.runMicros() * demand.job().cpus();
         long deadlineMicros = Math.max(demand.deadlineMicros(), candidates.earliestFinishMicros(demand));
+        double onBootingHosts =
+                demand.isOverdue() ? assignWork(demand, demand.work(), deadlineMicros, HostSupply::isBooting) : 0;
+        double remaining = demand.work() - onBootingHosts;
+        remaining -= assignWork(demand, remaining, deadlineMicros, supply -> true);
+        Double deferred = deferredWork.remove(demand.job().jobClass());
+        remaining += deferred == null ? 0 : deferred;
+        boolean needsMachineOfItsOwn = demand.isOverdue() && onBootingHosts == 0;
+        if (remaining > 0 || needsMachineOfItsOwn) {
+            return launchForWork(demand, remaining, deadlineMicros);
+        }
+        return onBootingHosts > 0 ? WaitReason.BOOTING_MACHINES : WaitReason.RUNNING_MACHINES;
+    }
+
+    private double assignWork(
+            CapacityDemand demand, double wanted, long deadlineMicros, Predicate<HostSupply> condition) {
+        double assigned = 0;
         for (HostSupply supply : supplies) {
-            remaining -= supply.assignWork(demand, remaining, deadlineMicros);
+            if (condition.test(supply)) {
+                assigned += supply.assignWork(demand, wanted - assigned, deadlineMicros);
+            }
         }
-        Double deferred = deferredWork.remove(jobClass);
-        remaining += deferred == null ? 0 : deferred;
-        WaitReason reason = WaitReason.RUNNING_MACHINES;
-        while (remaining > 0 && launches.size() < maxMachines) {
+        return assigned;
+    }
+
+    /** Launches machines for an array's work, at least one unless the launch is deferred. */
+    private WaitReason launchForWork(CapacityDemand demand, double work, long deadlineMicros) {
+        double remaining = work;
+        WaitReason reason = WaitReason.NOT_PLANNED;
+        while (launches.size() < maxMachines && (remaining > 0 || reason != WaitReason.LAUNCH)) {
             Optional<Candidate> cheapest = candidates.cheapest(demand, deadlineMicros);
-            if (cheapest.isEmpty()) {
-                return WaitReason.NO_OFFERING;
-            }
-            double machineWork = candidates.supply(cheapest.get()).availableWork(demand, deadlineMicros);
+            double machineWork = cheapest.map(
+                            candidate -> candidates.supply(candidate).availableWork(demand, deadlineMicros))
+                    .orElse(0.0);
             if (machineWork <= 0) {
                 return WaitReason.NO_OFFERING;
             }
-            if (remaining < MIN_NEW_MACHINE_UTILIZATION * machineWork && !supplies.isEmpty()) {
-                deferredWork.put(jobClass, remaining);
+            if (remaining < MIN_NEW_MACHINE_UTILIZATION * machineWork && mayBeDeferred(demand)) {
+                deferredWork.put(demand.job().jobClass(), remaining);
                 return WaitReason.LAUNCH_DEFERRED;
             }
             remaining -= launch(cheapest.get()).assignWork(demand, remaining, deadlineMicros);
@@ -181,6 +202,11 @@
         return reason;
     }
 
+    /** Small work may wait for a host that is there anyway, but neither for good nor for one that it may not use. */
+    private boolean mayBeDeferred(CapacityDemand demand) {
+        return !demand.isOverdue() && supplies.stream().anyMatch(supply -> supply.allows(demand));
+    }
+
     private HostSupply launch(Candidate candidate) {
         HostSupply supply = candidates.supply(candidate);
         supplies.add(supply);
--- a/src/main/java/org/weldcourse/fleet/WarmPools.java
+++ b/src/main/java/org/weldcourse/fleet/WarmPools.java
@@ -8,6 +8,8 @@
 import org.weldcourse.cluster.ClusterState;
 import org.weldcourse.cluster.Machine;
 import org.weldcourse.jobs.JobSpec;
+import org.weldcourse.placement.Feasibility;
+import org.weldcourse.placement.PlacementConstraints;
 import org.weldcourse.settings.OperatorSettings;
 import org.weldcourse.settings.Settings.ServiceLevelObjective;
 
@@ -32,7 +34,12 @@
         double load;
 
         boolean canUse(Machine machine) {
-            return machine.type.fits(latestJob) && (latestJob.allowsSpot() || !machine.spot);
+            return constraints().checkKind(machine) == Feasibility.FEASIBLE;
+        }
+
+        /** Returns the constraints of the next job of the class. */
+        PlacementConstraints constraints() {
+            return PlacementConstraints.ofNewJob(latestJob);
         }
     }
 
@@ -124,7 +131,7 @@
         List<CapacityDemand> shortfall = new ArrayList<>();
         for (Pool pool : pools.values()) {
             JobSpec job = pool.latestJob;
-            int missing = -surplus(job, nowMicros);
+            int missing = -surplus(pool, nowMicros);
             if (missing > 0
                     && pending.stream()
                             .noneMatch(demand -> demand.job().jobClass().equals(job.jobClass()))) {
@@ -137,29 +144,25 @@
     /** Returns how many machines each pool can spare now. */
     Surplus surplus(long nowMicros) {
         Map<String, Integer> machines = new HashMap<>();
-        pools.forEach((jobClass, pool) -> machines.put(jobClass, surplus(pool.latestJob, nowMicros)));
+        pools.forEach((jobClass, pool) -> machines.put(jobClass, surplus(pool, nowMicros)));
         return new Surplus(machines, nowMicros);
     }
 
-    private int surplus(JobSpec job, long nowMicros) {
+    private int surplus(Pool pool, long nowMicros) {
         int available = 0;
         for (Machine machine : cluster.machines.values()) {
-            available += canHost(machine, job, nowMicros) ? 1 : 0;
+            available += canHost(machine, pool, nowMicros) ? 1 : 0;
         }
         return available - settings.warmPoolSize();
     }
 
     /** Returns whether a running or booting machine could start the job, preempting only lower-priority work. */
-    private static boolean canHost(Machine machine, JobSpec job, long nowMicros) {
-        if (machine.type == null
-                || machine.deleting
-                || machine.reportedFailed
-                || machine.reclaimAtMicros != Long.MAX_VALUE
-                || !machine.isUp() && BootTimeouts.isBootOverdue(machine, nowMicros)
-                || !machine.type.fits(job)
-                || machine.spot && !job.allowsSpot()) {
+    private static boolean canHost(Machine machine, Pool pool, long nowMicros) {
+        if (!AvailableHosts.includes(machine, nowMicros)
+                || pool.constraints().checkUse(machine) != Feasibility.FEASIBLE) {
             return false;
         }
+        JobSpec job = pool.latestJob;
         double cpus = machine.type.cpus();
         for (BookingGroup group : machine.bookings.groups()) {
             if (group.spec().priority().compareTo(job.priority()) <= 0) {
@@ -182,7 +185,7 @@
         /** Removes the machine from the pools it belongs to; returns false if one of them can't spare it. */
         boolean tryRemove(Machine machine) {
             for (Map.Entry<String, Pool> entry : pools.entrySet()) {
-                if (canHost(machine, entry.getValue().latestJob, nowMicros)) {
+                if (canHost(machine, entry.getValue(), nowMicros)) {
                     if (machines.get(entry.getKey()) <= 0) {
                         return false;
                     }
--- a/src/main/java/org/weldcourse/leader/AdmissionCycle.java
+++ b/src/main/java/org/weldcourse/leader/AdmissionCycle.java
@@ -164,7 +164,10 @@
         long nowMicros = clock.nowMicros();
         capacityWaits.cycleEnded(decisions, cluster.jobs, nowMicros);
         waitingJobs.cycleEnded(decisions.pending(), nowMicros);
-        autoscaler.updateDemand(demandEstimator.demand(decisions.pending()), decisions.reservedMachines());
+        autoscaler.updateDemand(
+                demandEstimator.demand(decisions.pending(), capacityWaits, nowMicros),
+                decisions.reservations(),
+                decisions.reservedMachines());
         quotas.cycleEnded(decisions.pending(), nowMicros);
         releasedTaskCleanup.run(decisions.pending());
     }
--- a/src/main/java/org/weldcourse/leader/SyntheticCluster.java
+++ b/src/main/java/org/weldcourse/leader/SyntheticCluster.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import org.weldcourse.admission.CapacityDemandEstimator;
+import org.weldcourse.admission.CapacityWaits;
 import org.weldcourse.admission.CycleDecisions;
 import org.weldcourse.admission.Planner;
 import org.weldcourse.admission.SnapshotBuilder;
@@ -209,7 +210,12 @@
                     new double[Priority.values().length]));
         }
         ScaleOutPlanner.plan(
-                demandEstimator.demand(decisions.pending()), hosts, types, Set.of(), MAX_NEW_MACHINES, nowMicros);
+                demandEstimator.demand(decisions.pending(), new CapacityWaits(), nowMicros),
+                hosts,
+                types,
+                Set.of(),
+                MAX_NEW_MACHINES,
+                nowMicros);
     }
 
     /** Restores the jobs from their records, as a new leader does with its predecessor's records. */
--- a/src/main/java/org/weldcourse/placement/PlacementConstraints.java
+++ b/src/main/java/org/weldcourse/placement/PlacementConstraints.java
@@ -33,9 +33,11 @@
     /** Returns whether tasks of the job may run on the target, or the first reason why not. */
     public Feasibility check(PlacementTarget target) {
         Feasibility condition = target.condition();
-        if (condition != Feasibility.FEASIBLE) {
-            return condition;
-        }
+        return condition == Feasibility.FEASIBLE ? checkUse(target) : condition;
+    }
+
+    /** Checks everything but the condition of the machine, for one that is still booting. */
+    public Feasibility checkUse(PlacementTarget target) {
         Feasibility kind = checkKind(target);
         if (kind != Feasibility.FEASIBLE) {
             return kind;
--- a/src/test/java/org/weldcourse/fleet/ScaleOutPlannerTest.java
+++ b/src/test/java/org/weldcourse/fleet/ScaleOutPlannerTest.java
@@ -11,6 +11,7 @@
 import org.weldcourse.http.Json;
 import org.weldcourse.jobs.JobSpec;
 import org.weldcourse.jobs.JobSpecCodec;
+import org.weldcourse.placement.PlacementConstraints;
 import org.weldcourse.simulation.JobBodies;
 
 /** Tests which machines are planned for a given capacity demand. */
@@ -101,7 +102,14 @@
         // 60 s allow six runs of 10 s, but only three with a gap of 10 s after each.
         assertEquals(0, launched(new CapacityDemand(job(), 40, 10 * SECOND, 60 * SECOND), runningHost(0, 0)));
         assertTrue(launched(
-                        new CapacityDemand(job(), 40, 10 * SECOND, 10 * SECOND, 60 * SECOND, Map.of(), ZoneCounts.NONE),
+                        new CapacityDemand(
+                                PlacementConstraints.ofNewJob(job()),
+                                40,
+                                10 * SECOND,
+                                10 * SECOND,
+                                60 * SECOND,
+                                Map.of(),
+                                0),
                         runningHost(0, 0))
                 > 0);
         HostCapacity booting = new HostCapacity(LARGE, "a", true, true, 10 * SECOND, 0, 0, new double[4]);
@@ -110,4 +118,65 @@
         // Machines are launched even if fetching the image makes the tasks miss the deadline.
         assertTrue(launched(new CapacityDemand(job("size_gb", 90.0), 8, 10 * SECOND, 45 * SECOND)) > 0);
     }
+
+    private static HostCapacity host(JobSpec reservedFor, boolean booting, double usedCpuSeconds) {
+        return new HostCapacity(
+                "m-1", LARGE, "a", true, reservedFor, booting, 0, usedCpuSeconds * SECOND, 0, new double[4]);
+    }
+
+    private static CapacityDemand small(PlacementConstraints constraints, long waitedSeconds) {
+        return new CapacityDemand(constraints, 1, 10 * SECOND, 0, 60 * SECOND, Map.of(), waitedSeconds * SECOND);
+    }
+
+    @Test
+    void machinesThatAdmissionRefusesAreNoCapacity() throws Exception {
+        JobSpec gang = JobSpecCodec.decode(
+                Json.objectOrEmpty(Json.bytes(JobBodies.jobBody("req-000002", "shape", "ensemble"))));
+        PlacementConstraints free = PlacementConstraints.ofNewJob(job());
+        assertEquals(0, launched(small(free, 0), host(null, false, 0)));
+        assertEquals(1, launched(small(free, 0), host(gang, false, 0)));
+        PlacementConstraints excluded = new PlacementConstraints(job(), Set.of("m-1"), ZoneCounts.NONE, false);
+        assertEquals(1, launched(small(excluded, 0), host(null, false, 0)));
+    }
+
+    @Test
+    void deferralOfSmallWorkEnds() throws Exception {
+        PlacementConstraints constraints = PlacementConstraints.ofNewJob(job());
+        HostCapacity full = host(null, false, 10_000);
+        assertEquals(0, launched(small(constraints, 44), full));
+        assertEquals(1, launched(small(constraints, 45), full));
+        // A machine that boots already is enough.
+        assertEquals(0, launched(small(constraints, 45), full, host(null, true, 0)));
+    }
+
+    @Test
+    void overdueWorkDoesNotCountOnRunningMachines() throws Exception {
+        PlacementConstraints constraints = PlacementConstraints.ofNewJob(job());
+        assertEquals(0, launched(small(constraints, 44), host(null, false, 0)));
+        assertEquals(1, launched(small(constraints, 45), host(null, false, 0)));
+        assertEquals(0, launched(small(constraints, 45), host(null, false, 0), host(null, true, 0)));
+    }
+
+    @Test
+    void overdueGangDoesNotCountOnFreeSlotsOfRunningMachines() throws Exception {
+        PlacementConstraints constraints =
+                PlacementConstraints.ofNewJob(job("shape", "ensemble", "beads", 2, "cpus", 16.0, "together", true));
+        for (long waitedSeconds : new long[] {44, 45}) {
+            CapacityDemand gang = new CapacityDemand(
+                    constraints, 2, 10 * SECOND, 0, 60 * SECOND, Map.of("a", 2), waitedSeconds * SECOND);
+            assertEquals(waitedSeconds < 45 ? 0 : 2, launched(gang, host(null, false, 0)));
+        }
+    }
+
+    /** Guards against launches in a zone that the job's other tasks keep it out of. */
+    @Test
+    void workOfASingleZoneJobGetsMachinesInTheZoneOfItsOtherTasks() throws Exception {
+        PlacementConstraints constraints =
+                PlacementConstraints.ofNewJob(job("together", true)).withOtherTasks(new ZoneCounts(Map.of("b", 1), 0));
+        MachineType both = new MachineType("large", 16, 0, 64, 100, 1, 1.6, 0.8, 20 * SECOND, List.of("a", "b"));
+        List<ScaleOutRequest> launches = ScaleOutPlanner.plan(
+                        List.of(small(constraints, 0)), List.of(host(null, false, 0)), List.of(both), Set.of(), 30, 0)
+                .requests();
+        assertEquals(List.of(new ScaleOutRequest(new Offering("large", "b", true), 1)), launches);
+    }
 }
--- a/src/test/java/org/weldcourse/simulation/FakeTaskRunner.java
+++ b/src/test/java/org/weldcourse/simulation/FakeTaskRunner.java
@@ -16,6 +16,8 @@
 final class FakeTaskRunner {
     private static final long GANG_COMPLETION_RETRY_MICROS = 100_000;
     private static final long GANG_WAIT_MICROS = 40_000_000;
+    /** A run time that stands for an exit with an error. */
+    private static final long FAILURE = -1;
 
     private final FakeWorker worker;
     private final FakeClock clock;
@@ -143,7 +145,7 @@
 
     private void enterRunning(String taskId, FakeTask task) {
         task.state = FakeTask.RUNNING;
-        long runMicros = behavior.runMicros(taskId);
+        long runMicros = worker.failsNextTask() ? FAILURE : behavior.runMicros(taskId);
         if (runMicros < Long.MAX_VALUE) {
             clock.after(
                     runMicros,
--- a/src/test/java/org/weldcourse/simulation/FakeWorker.java
+++ b/src/test/java/org/weldcourse/simulation/FakeWorker.java
@@ -34,6 +34,8 @@
     private boolean frozen;
     private long frozenSinceMicros;
     private final List<Runnable> deferredWork = new ArrayList<>();
+    private boolean failsTasks;
+    private int failedTasks;
     private long preemptionMicros = -1;
     private boolean inFlight;
     private long lastSentMicros = -1_000_000;
@@ -88,6 +90,22 @@
         return lastSentMicros;
     }
 
+    /** Makes all tasks that start from now on fail at once, or lets them run. */
+    public void failTasks(boolean isFaulty) {
+        failsTasks = isFaulty;
+    }
+
+    /** Returns whether a task that starts now fails, and counts it if so. */
+    boolean failsNextTask() {
+        failedTasks += failsTasks ? 1 : 0;
+        return failsTasks;
+    }
+
+    /** Number of tasks that failed because of {@link #failTasks}. */
+    public int failedTasks() {
+        return failedTasks;
+    }
+
     /** All heartbeats sent so far, so that tests can deliver them again later. */
     public List<Map<String, Object>> heartbeats() {
         return heartbeats;
