--- a/src/main/java/org/weldcourse/cluster/BookingGroup.java
+++ b/src/main/java/org/weldcourse/cluster/BookingGroup.java
@@ -121,15 +121,13 @@
         }
     }
 
-    /** The first of the waiting bookings, each of which stops waiting before the next is asked for. */
-    private final class WaitingToStop implements Iterator<Booking> {
+    /** Takes the first of the waiting bookings, each of which stops waiting before the next is asked for. */
+    private final class WaitingToStop extends BookingSearch {
         @Override
-        public boolean hasNext() {
-            return pendingStops > 0 && !waiting.isEmpty();
-        }
-
-        @Override
-        public Booking next() {
+        protected Booking find() {
+            if (pendingStops == 0 || waiting.isEmpty()) {
+                return null;
+            }
             pendingStops--;
             return waiting().iterator().next();
         }
