Restore outstanding tasks by one path, in production and in the test

OutstandingRecord.restore was called by a test only. The record hands out the cursor that the restoration goes over; the two tests of the record move beside it, with the same checks.

--- a/src/main/java/org/weldcourse/persistence/RecordRestoration.java
+++ b/src/main/java/org/weldcourse/persistence/RecordRestoration.java
@@ -145,11 +145,7 @@
             unreadable.addOutstanding(entry.key(), entry.value(), exception);
             return;
         }
-        tasks = new AdmittedTaskCursor(
-                entry.value(),
-                job.spec().tasks(),
-                (machine, attempt, task) ->
-                        OutstandingRecord.restoreTask(cluster, job, task, attempt, machine, clock.nowMicros()));
+        tasks = OutstandingRecord.tasks(cluster, job, entry.value(), clock::nowMicros);
         if (tasks.decodingError() != null) {
             unreadable.addOutstanding(entry.key(), entry.value(), tasks.decodingError());
         } else {
