--- a/src/main/java/org/weldcourse/fleet/LaunchCandidates.java
+++ b/src/main/java/org/weldcourse/fleet/LaunchCandidates.java
@@ -92,9 +92,6 @@
         JobSpec job = demand.job();
         List<Candidate> candidates = new ArrayList<>();
         for (MachineType type : types) {
-            if (!type.fits(job)) {
-                continue;
-            }
             int slots = Math.max(1, type.tasksThatFit(job));
             int usedSlots = job.isGang() ? Math.min(slots, demand.tasks()) : slots;
             double bootCostFactor = 1 + type.bootMicros() / EXPECTED_LIFETIME_MICROS;
--- a/src/main/java/org/weldcourse/fleet/ScaleOutPlanner.java
+++ b/src/main/java/org/weldcourse/fleet/ScaleOutPlanner.java
@@ -78,12 +78,10 @@
         String best = null;
         double bestCost = Double.POSITIVE_INFINITY;
         for (String zone : candidates.zones()) {
-            if (demand.job().allowsZone(zone)) {
-                double cost = costOfMissingSlots(demand, zone);
-                if (cost < bestCost) {
-                    best = zone;
-                    bestCost = cost;
-                }
+            double cost = costOfMissingSlots(demand, zone);
+            if (cost < bestCost) {
+                best = zone;
+                bestCost = cost;
             }
         }
         if (best == null) {
