Check the zone of a job's other tasks without a stream

Admission asks it for each machine since PlacementConstraints does. What is left is the price of one predicate for all.

--- a/src/main/java/org/weldcourse/cluster/ZoneCounts.java
+++ b/src/main/java/org/weldcourse/cluster/ZoneCounts.java
@@ -47,6 +47,6 @@
 
     /** Whether all tasks are certain to be in the zone. */
     public boolean areAllIn(String zone) {
-        return unknown == 0 && known.keySet().stream().allMatch(zone::equals);
+        return unknown == 0 && (known.isEmpty() || known.size() == 1 && known.containsKey(zone));
     }
 }
