Blame a machine for failures only by jobs that do not fail elsewhere

MachineFailures keeps which jobs blame a machine. A job that fails elsewhere too, or ends without a success elsewhere, blames none; a success on the machine clears it. A machine that two jobs blame gets nothing more, and is returned once it is unused, or at once if both have succeeded elsewhere since. A job that failed on three machines since its last success backs off at each further failure, instead of three machines later.

--- a/src/main/java/org/weldcourse/cluster/ClusterState.java
+++ b/src/main/java/org/weldcourse/cluster/ClusterState.java
@@ -20,13 +20,8 @@
 /** The leader's in-memory state during one term: open jobs, machines, bookings and reported tasks. */
 public final class ClusterState {
     private static final Logger LOG = LoggerFactory.getLogger(ClusterState.class);
-    /** A job backs off once its tasks have failed on this many machines. */
-    private static final int FAILED_MACHINES_BEFORE_BACKOFF = 3;
-
-    /** The backoff of a job with failing tasks, before it is doubled for each error since the last success. */
-    private static final long BASE_BACKOFF_MICROS = 5_000_000;
     /** A job must not wait 90 s while there is free capacity, even if its own tasks fail. */
-    private static final long MAX_BACKOFF_MICROS = 60_000_000;
+    static final long MAX_BACKOFF_MICROS = 60_000_000;
 
     /**
      * The backoff of a job whose task was refused by a worker; also the initial backoff of a replica that exits early.
@@ -51,6 +46,7 @@
     public final Map<String, Job> outstandingJobs = new HashMap<>();
 
     private final OperationCounter operations;
+    private final TaskFailures failures = new TaskFailures(machines);
     private final PendingBookingChanges pendingChanges = new PendingBookingChanges();
     private Runnable onPendingChanges = () -> {};
     /** Reported tasks whose job is not known. */
@@ -225,7 +221,7 @@
     public void taskExited(Booking booking, ExitCause cause, long nowMicros) {
         switch (cause) {
             case DONE -> taskSucceeded(booking, nowMicros);
-            case FAILED -> taskFailed(booking, nowMicros);
+            case FAILED -> failures.taskFailed(booking, nowMicros);
             case REFUSED_NO_ROOM, REFUSED_OTHER_ATTEMPT, REFUSED_UNKNOWN_TASK -> {
                 LOG.info(
                         "{} attempt {} refused by {}: {}",
@@ -249,7 +245,7 @@
     private void taskSucceeded(Booking booking, long nowMicros) {
         Job job = booking.job();
         long ranMicros = booking.runningSinceMicros() < 0 ? 0 : nowMicros - booking.runningSinceMicros();
-        booking.machine().successesSinceError++;
+        failures.taskSucceeded(job, booking.machine());
         if (job.spec().isGang()) {
             job.markAllDone();
         } else if (!job.spec().isService()) {
@@ -269,20 +265,10 @@
         }
     }
 
-    private static void taskFailed(Booking booking, long nowMicros) {
-        Job job = booking.job();
-        Machine machine = booking.machine();
-        LOG.info("{} attempt {} failed on {}", booking.taskId(), booking.attempt(), machine.name);
-        machine.failedJobs.add(job.spec().id());
-        machine.successesSinceError = 0;
-        job.runHistory().exclusions().add(machine.name, nowMicros);
-        int errors = job.runHistory().incrementErrors();
-        if (job.runHistory().exclusions().failedMachines() >= FAILED_MACHINES_BEFORE_BACKOFF) {
-            // Failures on several machines point to the job itself: retry with exponential backoff, on any machine.
-            long backoffMicros = BASE_BACKOFF_MICROS << Math.min(10, errors);
-            job.runHistory().backOffUntil(nowMicros + Math.min(MAX_BACKOFF_MICROS, backoffMicros));
-            job.runHistory().exclusions().clear();
-        }
+    /** Removes a job that is closed from the open ones. */
+    public void removeClosed(Job job) {
+        jobs.remove(job.spec().id());
+        failures.withdraw(job);
     }
 
     /** Replaces the machine's unbooked tasks by those of its newest heartbeat. */
--- a/src/main/java/org/weldcourse/cluster/Machine.java
+++ b/src/main/java/org/weldcourse/cluster/Machine.java
@@ -17,8 +17,6 @@
 /** A machine as the leader knows it, from its rental (or first heartbeat) until the cloud confirms its deletion. */
 public final class Machine implements PlacementTarget {
     private static final int LOST_RESPONSES_TO_CORDON = 2;
-    /** Minimum number of jobs with failed tasks for a machine to count as faulty. */
-    private static final int FAULTY_MACHINE_FAILED_JOBS = 2;
 
     public final String name;
     /** The worker's address for direct commands, or null if not known yet. */
@@ -74,10 +72,8 @@
     /** The jobs of the unbooked tasks; empty for a job that is not known. */
     final List<Optional<Job>> unbookedTaskJobs = new ArrayList<>();
 
-    /** Ids of jobs that had a task fail on this machine. */
-    public final Set<String> failedJobs = new HashSet<>();
-    /** The number of tasks that succeeded here since the last task failure. */
-    public int successesSinceError;
+    /** The evidence that the machine is faulty. */
+    public final MachineFailures failures = new MachineFailures();
     /** Exited tasks in the last heartbeat that the worker has not been told to forget yet. */
     public final List<TaskStatus> exitedTasks = new ArrayList<>();
     /** The start commands that the worker may get once more, as copies. */
@@ -127,7 +123,7 @@
         if (deleting || reportedFailed || reclaimAtMicros != Long.MAX_VALUE) {
             return Feasibility.DRAINING;
         }
-        if (isFaulty()) {
+        if (failures.isSuspected()) {
             return Feasibility.FAULTY;
         }
         if (isCordoned()) {
@@ -161,11 +157,6 @@
         return reservedFor;
     }
 
-    /** Whether tasks of several jobs failed on the machine, and none has succeeded since. */
-    public boolean isFaulty() {
-        return failedJobs.size() >= FAULTY_MACHINE_FAILED_JOBS && successesSinceError == 0;
-    }
-
     /** Records that the response to a heartbeat did not reach the worker, although its heartbeats arrive here. */
     public void recordLostResponse(long nowMicros) {
         if (consecutiveLostResponses++ == 0) {
--- a/src/main/java/org/weldcourse/cluster/RunHistory.java
+++ b/src/main/java/org/weldcourse/cluster/RunHistory.java
@@ -1,10 +1,13 @@
 package org.weldcourse.cluster;
 
+import java.util.HashSet;
+import java.util.Set;
 import org.weldcourse.placement.MachineExclusions;
 
 /** How the runs of a job's tasks ended: failures, the backoff that they cause, and run times. */
 public final class RunHistory {
     private final MachineExclusions exclusions = new MachineExclusions();
+    private final Set<String> machinesFailedSinceSuccess = new HashSet<>();
     private int consecutiveErrors;
     private int finishedRuns;
     private long finishedRunMicros;
@@ -15,6 +18,17 @@
         return exclusions;
     }
 
+    /** Notes a failure on a machine, and excludes the machine for a while. */
+    void failedOn(String machine, long nowMicros) {
+        exclusions.add(machine, nowMicros);
+        machinesFailedSinceSuccess.add(machine);
+    }
+
+    /** The number of machines that tasks of the job failed on since the last success. */
+    int machinesFailedSinceSuccess() {
+        return machinesFailedSinceSuccess.size();
+    }
+
     /** Counts an error and returns the number of errors since the last success. */
     int incrementErrors() {
         return ++consecutiveErrors;
@@ -22,6 +36,7 @@
 
     void clearErrors() {
         consecutiveErrors = 0;
+        machinesFailedSinceSuccess.clear();
     }
 
     /** Delays further bookings until this time. */
--- a/src/main/java/org/weldcourse/fleet/ScaleInPolicy.java
+++ b/src/main/java/org/weldcourse/fleet/ScaleInPolicy.java
@@ -44,7 +44,7 @@
         if (machine.reportedFailed) {
             return Optional.of(ScaleInReason.FAILED);
         }
-        if (machine.isFaulty()) {
+        if (machine.failures.isSuspected() && (isUnused(machine) || machine.failures.isConfirmed())) {
             return Optional.of(ScaleInReason.FAULTY);
         }
         return machine.isUp() ? reasonOnceUp(machine, nowMicros) : reasonBeforeUp(machine, nowMicros);
@@ -74,7 +74,7 @@
             if (reclaimTimePassed && silentMicros > timeouts.reclaimedMicros()) {
                 return Optional.of(ScaleInReason.RECLAIMED);
             }
-            if (machine.bookings.isEmpty() && machine.unbookedTasks.isEmpty()) {
+            if (isUnused(machine)) {
                 return Optional.of(ScaleInReason.RECLAIM_ANNOUNCED);
             }
         }
@@ -96,6 +96,10 @@
         return (machine.spot || holdsReplicas(machine)) && !silentZones.contains(machine.zone);
     }
 
+    private static boolean isUnused(Machine machine) {
+        return machine.bookings.isEmpty() && machine.unbookedTasks.isEmpty();
+    }
+
     private static boolean holdsReplicas(Machine machine) {
         return machine.bookings.groups().stream().anyMatch(group -> group.spec().isService());
     }
--- a/src/main/java/org/weldcourse/fleet/ScaleInReason.java
+++ b/src/main/java/org/weldcourse/fleet/ScaleInReason.java
@@ -6,7 +6,7 @@
     NOT_CONFIRMED("deletion not confirmed yet"),
     /** The cloud reports that the machine stopped on its own. */
     FAILED("failed"),
-    /** Tasks of several jobs failed on the machine, and none has succeeded since. */
+    /** Tasks of several jobs failed on the machine and none has succeeded since; it is unused, or the jobs are sound. */
     FAULTY("faulty"),
     /** The machine has sent no heartbeat within the timeout. */
     LOST("no heartbeat"),
--- a/src/main/java/org/weldcourse/leader/JobCompletionHandler.java
+++ b/src/main/java/org/weldcourse/leader/JobCompletionHandler.java
@@ -77,7 +77,7 @@
     }
 
     private void removeClosed(Job job) {
-        cluster.jobs.remove(job.spec().id());
+        cluster.removeClosed(job);
         quotas.jobEnded(job);
         // The record of outstanding tasks may exist although the job's last booking was released during the write.
         if (!job.bookings().isEmpty() || job.isOutstandingPersisted()) {
--- a/src/main/java/org/weldcourse/placement/Feasibility.java
+++ b/src/main/java/org/weldcourse/placement/Feasibility.java
@@ -8,8 +8,8 @@
     NOT_REPORTED("not reported yet"),
     /** The machine is being deleted or reclaimed, or it stopped by itself. */
     DRAINING("draining"),
-    /** Everything that the machine ran of late has failed, for several jobs. */
-    FAULTY("faulty"),
+    /** Tasks of several jobs failed on the machine, and none has succeeded there since. */
+    FAULTY("suspected to be faulty"),
     /** Commands do not reach the machine. */
     CORDONED("cordoned"),
     /** The job does not allow the machine type, or a task does not fit on an empty machine of it. */
--- a/src/main/java/org/weldcourse/placement/MachineExclusions.java
+++ b/src/main/java/org/weldcourse/placement/MachineExclusions.java
@@ -1,5 +1,6 @@
 package org.weldcourse.placement;
 
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Set;
@@ -49,13 +50,8 @@
                 .collect(Collectors.toUnmodifiableSet());
     }
 
-    /** Returns the number of machines with failures, excluded or not, since the last call of {@link #clear}. */
-    public int failedMachines() {
-        return exclusions.size();
-    }
-
-    /** Ends all exclusions. */
-    public void clear() {
-        exclusions.clear();
+    /** Returns the names of the machines with failures, excluded or not. */
+    public Set<String> failedMachines() {
+        return Collections.unmodifiableSet(exclusions.keySet());
     }
 }
--- a/src/main/java/org/weldcourse/workers/UnwantedBookings.java
+++ b/src/main/java/org/weldcourse/workers/UnwantedBookings.java
@@ -64,6 +64,7 @@
     private boolean isUnwanted(Booking booking) {
         return booking.isStopRequested()
                 || machine.isCordoned()
+                || machine.failures.isSuspected()
                 || startAuthorization.isOverbooked(booking.job().spec().team());
     }
 
--- a/src/test/java/org/weldcourse/app/FailedTaskPlacementTest.java
+++ b/src/test/java/org/weldcourse/app/FailedTaskPlacementTest.java
@@ -150,6 +150,7 @@
         for (String job : List.of(JOB, "req-000003", "req-000004")) {
             assertTrue(cluster.reaches("n0", job, "done", REPLACEMENT_SECONDS));
         }
+        cluster.clock.passSeconds(2);
         assertTrue(cluster.cloud.released.contains(faulty.machine().name()));
     }
 
