Count tasks that were released while the write of their admission was in flight

They had no record key yet, so that nothing counted them until the answer came, and another job of the team was admitted with their quota. Nobody can start them on a machine that is gone, but a leader elected then reads more on record than the limit, and holds up the whole team until it has sorted that out.

ReleasedTasks counts them until the write is known to be applied (they are then added by the record's key, as before) or refused. With this counting taken back (scratch copy), ReleasedTasksTest.taskThatIsReleasedDuringItsWriteMayBeOnRecord fails.

--- a/src/main/java/org/weldcourse/cluster/ClusterState.java
+++ b/src/main/java/org/weldcourse/cluster/ClusterState.java
@@ -133,6 +133,9 @@
 
     private static void keepOnRecord(Booking booking) {
         booking.admission().released(booking);
+        if (!booking.isPersisted()) {
+            booking.job().releasedTasks().addUnpersisted(booking.task());
+        }
         String recordKey = booking.recordKey();
         if (recordKey != null) {
             booking.job().releasedTasks().add(recordKey, booking.task());
--- a/src/main/java/org/weldcourse/cluster/ReleasedTasks.java
+++ b/src/main/java/org/weldcourse/cluster/ReleasedTasks.java
@@ -12,6 +12,10 @@
  */
 public final class ReleasedTasks {
     private final Map<String, BitSet> tasksByKey = new HashMap<>();
+    /** Tasks that were released while the write of their admission was in flight: they may be on record already. */
+    private final BitSet releasedDuringWrite = new BitSet();
+
+    private boolean isWriteInFlight;
     private int leavingTasks;
 
     /** Adds a task that the record with this key contains. */
@@ -26,7 +30,7 @@
 
     /** Whether no record contains a released task. */
     public boolean isEmpty() {
-        return tasksByKey.isEmpty();
+        return tasksByKey.isEmpty() && releasedDuringWrite.isEmpty();
     }
 
     /** The keys of the records that contain released tasks other than these. */
@@ -42,9 +46,9 @@
         return keys;
     }
 
-    /** The released tasks in any record, except those with these keys. */
+    /** The released tasks that may be in any record, except those with these keys. */
     BitSet tasksOutside(Set<String> keys) {
-        BitSet tasks = new BitSet();
+        BitSet tasks = (BitSet) releasedDuringWrite.clone();
         tasksByKey.forEach((key, released) -> {
             if (!keys.contains(key)) {
                 tasks.or(released);
@@ -53,9 +57,24 @@
         return tasks;
     }
 
-    /** Records that the write in flight takes this many released tasks off the record, or 0 at its end. */
-    public void setLeavingTasks(int tasks) {
-        leavingTasks = tasks;
+    /** Records that a write of admissions is in flight, which takes this many released tasks off the record. */
+    public void beginWrite(int leaving) {
+        isWriteInFlight = true;
+        leavingTasks = leaving;
+    }
+
+    /** Records the end of the write in flight. The tasks that it has put on record must then be added by its key. */
+    public void endWrite() {
+        isWriteInFlight = false;
+        leavingTasks = 0;
+        releasedDuringWrite.clear();
+    }
+
+    /** Adds a task that was released before its admission was known to be on record. */
+    void addUnpersisted(int task) {
+        if (isWriteInFlight) {
+            releasedDuringWrite.set(task);
+        }
     }
 
     /** The number of released tasks that the write in flight takes off the record. */
--- a/src/main/java/org/weldcourse/persistence/AdmissionRecords.java
+++ b/src/main/java/org/weldcourse/persistence/AdmissionRecords.java
@@ -173,13 +173,13 @@
         BitSet done = layout.isInAdmissions(job) ? job.doneTasks() : null;
         Map<String, BitSet> releasedBefore = job.releasedTasks().in(writes.keySet());
         int left = job.releasedTaskCountAfterWriteOf(writes.keySet(), done != null);
-        job.releasedTasks().setLeavingTasks(job.releasedTaskCount() - left);
+        job.releasedTasks().beginWrite(job.releasedTaskCount() - left);
         int writeNumber = job.records().nextWriteNumber();
         Map<String, Map<String, Object>> records = new LinkedHashMap<>();
         writes.forEach((key, part) ->
                 records.put(key, AdmissionRecordCodec.encode(part, job.lastAttempt(), writeNumber, done)));
         commits.commit(job, txn, records, writeNumber, persisted -> {
-            job.releasedTasks().setLeavingTasks(0);
+            job.releasedTasks().endWrite();
             if (persisted && done != null) {
                 job.markDonePersisted(done);
             }
--- a/src/test/java/org/weldcourse/cluster/ReleasedTasksTest.java
+++ b/src/test/java/org/weldcourse/cluster/ReleasedTasksTest.java
@@ -44,7 +44,7 @@
         }
         assertEquals(3, admittedTasks());
         book(0, 2);
-        job.releasedTasks().setLeavingTasks(2);
+        job.releasedTasks().beginWrite(2);
         assertEquals(3, admittedTasks(), "the record contains three tasks until the write is applied");
     }
 
@@ -54,9 +54,35 @@
         cluster.release(job.booking(0), ReleaseReason.EXITED, 1);
         cluster.release(job.booking(1), ReleaseReason.EXITED, 1);
         book(4, 2);
-        job.releasedTasks().setLeavingTasks(2);
+        job.releasedTasks().beginWrite(2);
         assertEquals(2, admittedTasks(), "two tasks before the write, one after it");
         book(5, 2);
         assertEquals(2, admittedTasks(), "two tasks before the write and after it");
     }
+
+    /**
+     * Guards against admissions above a team's limit on record: while the answer to a write was late, its machine was
+     * returned, and the quota of its tasks was given to another job although they were on record.
+     */
+    @Test
+    void taskThatIsReleasedDuringItsWriteMayBeOnRecord() throws Exception {
+        addJobWithRecordedTasks(0);
+        book(0, 1);
+        book(1, 1);
+        job.releasedTasks().beginWrite(0);
+        cluster.release(job.booking(0), ReleaseReason.MACHINE_SCALED_IN, 1);
+        assertEquals(2, admittedTasks(), "the write may have been applied");
+        assertEquals(
+                job.spec().quotaPerTask(), cluster.releasedOnRecord(job.spec().team()));
+        job.releasedTasks().endWrite();
+        assertEquals(1, admittedTasks(), "the write was refused, or has added the task by its key");
+    }
+
+    @Test
+    void taskThatIsReleasedBeforeItsWriteIsNotOnRecord() throws Exception {
+        addJobWithRecordedTasks(0);
+        book(0, 1);
+        cluster.release(job.booking(0), ReleaseReason.ADMISSION_REFUSED, 1);
+        assertEquals(0, admittedTasks());
+    }
 }
