Let the wait for capacity go on while a team has no quota

A team at its limit has quota for a job in one cycle and none in the next, as others of the team take what is freed. The wait began anew each time, so that the deferral of small work, and the reliance on running machines, had no end for such a job.

--- a/src/main/java/org/weldcourse/admission/CapacityWaits.java
+++ b/src/main/java/org/weldcourse/admission/CapacityWaits.java
@@ -6,7 +6,8 @@
 
 /**
  * Since when jobs have waited for capacity without any of their tasks being booked. A job's wait goes on while it cannot
- * be booked for another reason, such as a backoff.
+ * be booked for another reason, such as a backoff or its team's quota limit: a team at its limit has quota for one cycle
+ * and none for the next.
  */
 public final class CapacityWaits {
     private final Map<String, Long> sinceMicrosByJob = new HashMap<>();
@@ -15,9 +16,7 @@
     public void cycleEnded(CycleDecisions decisions, Map<String, Job> jobs, long nowMicros) {
         decisions.admissions().forEach(admission -> sinceMicrosByJob.remove(admission.job()));
         for (CycleDecisions.PendingTasks tasks : decisions.pending()) {
-            if (tasks.blockedByQuota()) {
-                sinceMicrosByJob.remove(tasks.spec().id());
-            } else {
+            if (!tasks.blockedByQuota()) {
                 sinceMicrosByJob.putIfAbsent(tasks.spec().id(), nowMicros);
             }
         }
