Keep the constraints of a warm pool, and ask one method whether a machine starts tasks

A pool made its constraints anew for each machine, in each cycle and each step of the autoscaler; they change with the latest job only. Cordoned or suspected to be faulty stood in two places as a pair of checks. Nothing is decided otherwise.

--- a/src/main/java/org/weldcourse/cluster/Machine.java
+++ b/src/main/java/org/weldcourse/cluster/Machine.java
@@ -183,6 +183,11 @@
         return consecutiveLostResponses >= LOST_RESPONSES_TO_CORDON;
     }
 
+    /** Whether no task is started here: commands do not arrive, or the machine is suspected to be faulty. */
+    public boolean isClosedToStarts() {
+        return isCordoned() || failures.isSuspected();
+    }
+
     /** Whether the machine is cordoned and its responses have been lost for longer than this. */
     public boolean isCordonedFor(long micros, long nowMicros) {
         return isCordoned() && nowMicros - responsesLostSinceMicros > micros;
--- a/src/main/java/org/weldcourse/fleet/WarmPools.java
+++ b/src/main/java/org/weldcourse/fleet/WarmPools.java
@@ -29,17 +29,15 @@
     /** State of one job class. Its latest job is taken as the prediction for future ones. */
     private static final class Pool {
         JobSpec latestJob;
+        /** The constraints of the next job of the class, if it is like the latest. */
+        PlacementConstraints constraints;
+
         long lastSeenMicros;
         /** Smoothed share, 0 to 1, of the usable CPUs that the class occupies. */
         double load;
 
         boolean canUse(Machine machine) {
-            return constraints().checkKind(machine) == Feasibility.FEASIBLE;
-        }
-
-        /** Returns the constraints of the next job of the class. */
-        PlacementConstraints constraints() {
-            return PlacementConstraints.ofNewJob(latestJob);
+            return constraints.checkKind(machine) == Feasibility.FEASIBLE;
         }
     }
 
@@ -54,6 +52,7 @@
         if (job.isService() || hasStartObjective(job)) {
             Pool pool = pools.computeIfAbsent(job.jobClass(), jobClass -> new Pool());
             pool.latestJob = job;
+            pool.constraints = PlacementConstraints.ofNewJob(job);
             pool.lastSeenMicros = nowMicros;
         }
     }
@@ -159,7 +158,7 @@
     /** Returns whether a running or booting machine could start the job, preempting only lower-priority work. */
     private static boolean canHost(Machine machine, Pool pool, long nowMicros) {
         if (!AvailableHosts.includes(machine, nowMicros)
-                || pool.constraints().checkUse(machine) != Feasibility.FEASIBLE) {
+                || pool.constraints.checkUse(machine) != Feasibility.FEASIBLE) {
             return false;
         }
         JobSpec job = pool.latestJob;
--- a/src/main/java/org/weldcourse/workers/CommandSelector.java
+++ b/src/main/java/org/weldcourse/workers/CommandSelector.java
@@ -135,7 +135,7 @@
      * but its exited tasks free their bookings.
      */
     private static boolean mayStartOn(Machine machine) {
-        return machine.type != null && !machine.isCordoned() && !machine.failures.isSuspected() && !machine.deleting;
+        return machine.type != null && !machine.isClosedToStarts() && !machine.deleting;
     }
 
     private void addStarts(Machine machine, List<WorkerCommand> commands, long nowMicros) {
--- a/src/main/java/org/weldcourse/workers/UnwantedBookings.java
+++ b/src/main/java/org/weldcourse/workers/UnwantedBookings.java
@@ -63,8 +63,7 @@
      */
     private boolean isUnwanted(Booking booking) {
         return booking.isStopRequested()
-                || machine.isCordoned()
-                || machine.failures.isSuspected()
+                || machine.isClosedToStarts()
                 || startAuthorization.isOverbooked(booking.job().spec().team());
     }
 
